--- a/src/interface.rs
+++ b/src/interface.rs
@@ -357,6 +357,8 @@
     PushedOut,
     /// Sent away by a draining machine.
     SentAway,
+    /// The way to the machine broke or spoilt its answer, which may befall any machine alike.
+    Broken,
 }
 
 /// Word on a running attempt.
--- a/src/life/config.rs
+++ b/src/life/config.rs
@@ -1,6 +1,8 @@
 //! The configuration that the platform hands over.
 
+use crate::wire::hub::Bounds;
 use crate::wire::platform::board::Known;
+use crate::wire::platform::Source;
 use crate::wire::rest::Options;
 use serde::Deserialize;
 use serde_json::Value;
@@ -31,15 +33,38 @@
     Runtime(std::io::Error),
 }
 
+/// Share of the descriptors that owners' connections may take. Owners hold a third at most; the rest is for those
+/// that ask once and stay.
+const OWNERS_SHARE: f64 = 0.5;
+/// Share of the memory that may wait in the queues of all owners' connections, and in those of all boxes.
+const QUEUES_SHARE: f64 = 0.125;
+/// Bytes. The least and the most that may wait for one owner or one box.
+const QUEUE: (f64, f64) = (64.0 * 1024.0, 1024.0 * 1024.0);
+/// Count. Boxes among which their share of the memory is divided.
+const BOXES: f64 = 64.0;
+/// Bytes in one of the configuration's megabytes.
+const MEGABYTE: f64 = 1024.0 * 1024.0;
+
 #[derive(Debug, Deserialize)]
 #[serde(default)]
 pub struct Limits {
     pub sockets: u32,
+    pub memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192.0 }
+    }
+}
+
+impl Limits {
+    /// What follows from the limits for the connections.
+    pub fn bounds(&self) -> Bounds {
+        let owners = (f64::from(self.sockets) * OWNERS_SHARE).max(1.0);
+        let queues = self.memory_mb.max(0.0) * MEGABYTE * QUEUES_SHARE;
+        let queue = |connections: f64| (queues / connections).clamp(QUEUE.0, QUEUE.1) as usize;
+        Bounds { owners: owners as usize, owner_queue: queue(owners), box_queue: queue(BOXES) }
     }
 }
 
@@ -60,6 +85,8 @@
 
 /// What the planner is told.
 pub struct Config {
+    /// The file that it was read from.
+    pub path: PathBuf,
     pub name: String,
     pub listen: String,
     pub seed: u64,
@@ -96,6 +123,7 @@
             hex => u64::from_str_radix(hex, 16).map_err(|_| wrong(format!("seed {hex:?} is not hex")))?,
         };
         Ok(Config {
+            path,
             name: file.name,
             listen: file.listen,
             seed,
@@ -107,6 +135,11 @@
         })
     }
 
+    /// Where to follow the notice board, and from where.
+    pub fn source(&self) -> Source {
+        Source { address: self.board.clone(), known: self.known.clone() }
+    }
+
     /// The time for a connection to come up.
     pub fn dial(&self) -> Duration {
         let told = self.settings.pointer("/permissions/dial_timeout_s").and_then(Value::as_f64);
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -7,6 +7,7 @@
 use crate::interface::{ListKind, Seconds};
 use crate::state::{Core, Keep};
 use crate::wire::hub::{seconds, Hub};
+use crate::wire::platform::Source;
 use crate::wire::{platform, rest};
 use config::{Config, ConfigError};
 use std::path::PathBuf;
@@ -14,6 +15,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 
 /// Clients keep coming for so long after SIGTERM; no sooner may the planner stop.
 const TAKES_ON: Duration = Duration::from_millis(900);
@@ -25,8 +27,6 @@
 const DRAIN_LEAST_S: Seconds = 3.0;
 /// Time between looks at a draining planner.
 const LOOK: Duration = Duration::from_millis(20);
-/// Share of the descriptors that owners' connections may take.
-const OWNERS_SHARE: f64 = 0.6;
 
 /// A phase of the program's life.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -35,6 +35,8 @@
     Starting,
     /// Takes and answers.
     Serving,
+    /// Told to read its configuration anew; what is in flight goes on.
+    Reloading,
     /// Told to stop: takes what still comes, answers what it took.
     Draining { since: Instant },
     /// Nothing is owed any more.
@@ -46,6 +48,7 @@
         f.write_str(match self {
             Phase::Starting => "starting",
             Phase::Serving => "serving",
+            Phase::Reloading => "reloading",
             Phase::Draining { .. } => "draining",
             Phase::Stopped => "stopped",
         })
@@ -56,6 +59,25 @@
 struct Life {
     phase: Phase,
     config: Config,
+    /// Where the notice board is; a reload moves it.
+    board: watch::Sender<Source>,
+}
+
+/// The signals that the program heeds from its first moment on.
+struct Signals {
+    terms: Signal,
+    interrupts: Signal,
+    hups: Signal,
+}
+
+impl Signals {
+    fn new() -> std::io::Result<Signals> {
+        Ok(Signals {
+            terms: signal(SignalKind::terminate())?,
+            interrupts: signal(SignalKind::interrupt())?,
+            hups: signal(SignalKind::hangup())?,
+        })
+    }
 }
 
 /// Runs a planner until it is told to stop.
@@ -66,7 +88,8 @@
     let mut config = Config::load(config)?;
     config.rest = rest.map(config::rest).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let mut life = Life { phase: Phase::Starting, config };
+    let board = watch::Sender::new(config.source());
+    let mut life = Life { phase: Phase::Starting, config, board };
     runtime.map_err(ConfigError::Runtime)?.block_on(life.live())
 }
 
@@ -100,37 +123,54 @@
     }
 
     async fn live(&mut self) -> Result<(), ConfigError> {
-        let mut terms = signal(SignalKind::terminate()).map_err(ConfigError::Runtime)?;
-        let mut interrupts = signal(SignalKind::interrupt()).map_err(ConfigError::Runtime)?;
+        let mut signals = Signals::new().map_err(ConfigError::Runtime)?;
         let hub = self.start().await?;
         self.enter(Phase::Serving);
-        tokio::select! {
-            _ = terms.recv() => {}
-            _ = interrupts.recv() => {}
+        loop {
+            tokio::select! {
+                _ = signals.terms.recv() => break,
+                _ = signals.interrupts.recv() => break,
+                _ = signals.hups.recv() => {
+                    self.enter(Phase::Reloading);
+                    self.reload(&hub);
+                    self.enter(Phase::Serving);
+                }
+            }
         }
-        self.drain(&hub, &mut interrupts).await;
+        self.drain(&hub, &mut signals).await;
         self.enter(Phase::Stopped);
         Ok(())
     }
 
+    /// Reads the configuration anew: the notice board may have moved, and limits may differ. What the program was
+    /// started with for good, its settings, address and REST front, stays. A file that cannot be used changes nothing.
+    fn reload(&mut self, hub: &Hub) {
+        match Config::load(Some(self.config.path.clone())).and_then(|new| core_of(&new).map(|_| new)) {
+            Err(error) => {
+                tracing::error!(%error, "the new configuration cannot be used; the old one stays in force")
+            }
+            Ok(new) => {
+                hub.lock().bounds = new.limits.bounds();
+                self.board.send_replace(new.source());
+            }
+        }
+    }
+
     /// Opens the sockets and starts the tasks.
     async fn start(&self) -> Result<Arc<Hub>, ConfigError> {
         let config = &self.config;
         let core = core_of(config)?;
-        let (hub, wanted) = Hub::new(core);
+        let (hub, wanted) = Hub::new(core, config.limits.bounds());
         tokio::spawn(hub.clone().keep_time());
         tokio::spawn(platform::hold_links(hub.clone(), wanted, config.dial()));
         for (at, event) in config.known.notices.iter().enumerate() {
             platform::take_in(&hub, event, (at == 0).then_some(ListKind::Persisted));
         }
-        if let Some(board) = &config.board {
-            tokio::spawn(platform::follow(hub.clone(), board.clone(), config.known.rev));
-        }
+        tokio::spawn(platform::follow(hub.clone(), self.board.subscribe(), config.known.rev));
         let bind = |e| ConfigError::Listen(config.listen.clone(), e);
         let listener = TcpListener::bind(&config.listen).await.map_err(bind)?;
         let address = listener.local_addr().map_err(bind)?;
-        let owners = (f64::from(config.limits.sockets) * OWNERS_SHARE) as usize;
-        tokio::spawn(platform::serve(hub.clone(), listener, owners.max(1)));
+        tokio::spawn(platform::serve(hub.clone(), listener));
         tracing::info!(name = config.name, %address, "listening");
         if let Some(options) = config.rest.clone() {
             let bind = |e| ConfigError::Listen(options.listen.clone(), e);
@@ -143,7 +183,7 @@
     }
 
     /// Answers what was taken and what still comes, then returns. A second interrupt cuts it short.
-    async fn drain(&mut self, hub: &Hub, interrupts: &mut Signal) {
+    async fn drain(&mut self, hub: &Hub, signals: &mut Signals) {
         let since = Instant::now();
         self.enter(Phase::Draining { since });
         hub.lock().draining = true;
@@ -163,7 +203,9 @@
             }
             tokio::select! {
                 () = tokio::time::sleep(LOOK) => {}
-                _ = interrupts.recv() => return,
+                _ = signals.interrupts.recv() => return,
+                // The board may move while the planner drains, too.
+                _ = signals.hups.recv() => self.reload(hub),
             }
         }
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -429,6 +429,13 @@
             }
             machine.forget(now);
         }
+        // On a long day machines and services come and go: of those that went nothing is kept.
+        let gone = |e: &&Entry| e.standing == Standing::Gone;
+        entries.iter().filter(gone).for_each(|e| drop(self.machines.remove(&e.machine)));
+        if kind == ListKind::Whole {
+            self.machines.retain(|id, _| named.contains(id));
+        }
+        self.machines.values_mut().for_each(|m| m.kept.retain(|_, until| now < *until));
     }
 
     fn list_delay(&self) -> Seconds {
@@ -658,7 +665,7 @@
 
     fn together(&self, place: Place, a: MachineId, b: MachineId) -> bool {
         let (Some(first), Some(second)) = (self.machines.get(&a), self.machines.get(&b)) else {
-            return a == b;
+            return a == b || place == Place::All;
         };
         match place {
             Place::All => true,
@@ -900,6 +907,9 @@
         }
         (Outcome::Lost, Reason::Evicted) => machine.used = Told { value: 1.0, at: now },
         (Outcome::Lost, Reason::PushedOut) => {}
+        // Guards against shunning machines, one after the other, for what befell their connections. Whether
+        // one is there still shows in the next dial.
+        (Outcome::Lost, Reason::Broken) => {}
         (Outcome::Lost, _) if bound => {
             machine.up_since = machine.up_since.max(now);
             machine.kept.clear();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,13 +10,14 @@
 
 pub use history::{Change, ChangeKind, History, Resume};
 pub use views::{JobView, MachineView, Object};
-pub use words::{Ask, Effect, Input, Keep, Notice, Owner, Phase, Refusal, Spec};
+pub use words::{Ask, Effect, Input, Keep, Notice, Owed, Owner, Phase, Refusal, Spec};
 
 use crate::interface::Effect as Effect_;
 use crate::interface::*;
 use crate::life::settings::Vocabulary;
 use crate::rules::Placer;
 use std::cmp::Reverse;
+use std::collections::btree_map::Entry as Entry_;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
 
@@ -89,6 +90,8 @@
     jobs: BTreeMap<RequestId, Job>,
     nodes: BTreeMap<MachineId, Node>,
     keys: BTreeMap<(String, String), RequestId>,
+    /// The jobs that are not over, by the connection that they came on.
+    links: BTreeMap<u64, BTreeSet<RequestId>>,
     alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
     over: VecDeque<RequestId>,
     pending: usize,
@@ -97,6 +100,8 @@
     history: History,
 }
 
+/// Multiple. No owner waits longer than so many times what its class usually waits.
+const MOST_WAIT_TIMES: f64 = 8.0;
 /// The cause by which a machine is told to cut a task that counts as lost.
 const CUT: u8 = 41;
 
@@ -118,6 +123,7 @@
             jobs: BTreeMap::new(),
             nodes: BTreeMap::new(),
             keys: BTreeMap::new(),
+            links: BTreeMap::new(),
             alarms: BinaryHeap::new(),
             over: VecDeque::new(),
             pending: 0,
@@ -147,6 +153,39 @@
         self.pending >= MOST_JOBS
     }
 
+    /// What is owed on a connection.
+    pub fn owed(&self, link: u64) -> Owed {
+        let jobs = self.links.get(&link).into_iter().flatten().filter_map(|id| self.jobs.get(id));
+        let count = |owed: Owed, job: &Job| match job.phase {
+            Phase::Pending => Owed { open: owed.open + 1, ..owed },
+            _ => Owed { standing: owed.standing + 1, ..owed },
+        };
+        jobs.fold(Owed::default(), count)
+    }
+
+    /// Whether a job is one that some machine could take, within the times that the settings know. What no machine
+    /// can ever take would only wait for its deadline, and a far deadline would be kept for good.
+    ///
+    /// # Errors
+    /// Which of its figures is out of range.
+    pub fn admits(&self, now: Seconds, ask: &Ask) -> Result<(), &'static str> {
+        let room = ask.task.room;
+        let class = self.settings.classes.get(ask.task.class).ok_or("class")?;
+        let (cores, memory) = (self.settings.cores_multiple, self.settings.memory_multiple);
+        let limit = |kind: &Kind| Room { cores: kind.size.cores * cores, memory: kind.size.memory * memory };
+        let of_kind = |&(at, _): &(usize, &Kind)| class.kind.is_none_or(|kind| kind == at);
+        let mut kinds = self.settings.kinds.iter().enumerate().filter(of_kind);
+        let faults = [
+            (ask.job.0 == 0, "id"),
+            (ask.spec.name.is_empty(), "name"),
+            (matches!(class.effect, Effect_::Keyed { .. }) && ask.spec.key.is_none(), "key"),
+            (!(room.cores > 0.0 && room.memory > 0.0), "room"),
+            (!kinds.any(|(_, kind)| room.within(limit(kind))), "room"),
+            (ask.task.deadline - now > class.deadline_s * MOST_WAIT_TIMES, "waiting time"),
+        ];
+        faults.iter().find(|(wrong, _)| *wrong).map_or(Ok(()), |(_, what)| Err(*what))
+    }
+
     /// Tasks that stand at a machine.
     pub fn standing_at(&self, machine: MachineId) -> usize {
         self.nodes.get(&machine).map_or(0, |n| n.standing.len())
@@ -229,9 +268,9 @@
             Input::Adopt { ask, machine } => self.adopt(now, ask, machine, effects),
             Input::Cancel { job, cause } => self.cancel(now, job, cause, effects),
             Input::OwnerGone { link } => {
-                let open = |j: &Job| j.owner == Owner::Link(link) && j.phase == Phase::Pending;
+                let open = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.phase == Phase::Pending);
                 let gone: Vec<RequestId> =
-                    self.jobs.iter().filter(|(_, j)| open(j)).map(|(&id, _)| id).collect();
+                    self.links.get(&link).into_iter().flatten().copied().filter(open).collect();
                 for job in gone {
                     self.cancel(now, job, 0, effects);
                 }
@@ -264,8 +303,8 @@
             Input::Probed { machine, outcome, report } => {
                 self.feed(now, Event::Probed { machine, outcome, report }, effects);
             }
-            Input::DialFailed { machine } => self.break_trials(now, machine, false, effects),
-            Input::LinkBroken { machine } => self.break_trials(now, machine, true, effects),
+            Input::DialFailed { machine } => self.break_trials(now, machine, false, Reason::Unknown, effects),
+            Input::LinkBroken { machine } => self.break_trials(now, machine, true, Reason::Broken, effects),
             Input::MachineLost { machine } => self.machine_lost(now, machine, effects),
             Input::Tick => self.tick(now, effects),
         }
@@ -333,11 +372,10 @@
     }
 
     fn submit(&mut self, now: Seconds, ask: Ask, effects: &mut Vec<Effect>) {
-        if self.jobs.contains_key(&ask.job) {
-            return effects
-                .push(Effect::Log(format!("id {:016x} was used twice; the second is dropped", ask.job.0)));
-        }
         let (id, task, owner) = (ask.job, ask.task, ask.owner);
+        if self.jobs.contains_key(&id) {
+            return self.used_twice(now, id, owner, effects);
+        }
         if self.is_full() {
             let (why, retry_in_s) = (Refusal::Busy, DOOR_RETRY_S);
             return effects.push(Effect::Refused { owner, job: id, why, retry_in_s });
@@ -349,6 +387,19 @@
         self.feed(now, Event::Submitted { request: id, task }, effects);
     }
 
+    /// An id that is in use comes again. On another connection that is not its owner's doing, and nothing is said
+    /// there that could be taken for word of the first. On the same one nobody can tell which an answer is for: what
+    /// waits is failed, and no second answer is owed.
+    fn used_twice(&mut self, now: Seconds, id: RequestId, owner: Owner, effects: &mut Vec<Effect>) {
+        let first = self.jobs.get(&id).filter(|j| j.owner == owner && j.phase == Phase::Pending);
+        if first.is_some() {
+            self.take_back(now, id, true, effects);
+        }
+        if let Owner::Link(link) = owner {
+            effects.push(Effect::Expel { link });
+        }
+    }
+
     fn add(&mut self, now: Seconds, ask: Ask, phase: Phase) {
         let mut risky_since = None;
         if let (Some(key), Owner::Rest) = (&ask.spec.key, ask.owner) {
@@ -376,7 +427,12 @@
             trial: None,
             placed_at: 0.0,
         };
-        self.open_rest += usize::from(job.owner == Owner::Rest);
+        match job.owner {
+            Owner::Rest => self.open_rest += 1,
+            Owner::Link(link) => {
+                self.links.entry(link).or_default().insert(ask.job);
+            }
+        }
         self.jobs.insert(ask.job, job);
     }
 
@@ -573,7 +629,17 @@
         if job.phase == Phase::Pending {
             self.pending -= 1;
         }
-        self.open_rest -= usize::from(job.owner == Owner::Rest);
+        match job.owner {
+            Owner::Rest => self.open_rest -= 1,
+            Owner::Link(link) => {
+                if let Entry_::Occupied(mut of_link) = self.links.entry(link) {
+                    of_link.get_mut().remove(&id);
+                    if of_link.get().is_empty() {
+                        of_link.remove();
+                    }
+                }
+            }
+        }
         job.phase = phase;
         if let Some(node) = job.machine.and_then(|m| self.nodes.get_mut(&m)) {
             node.standing.remove(&id);
@@ -711,12 +777,19 @@
 
     fn machine_lost(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
         self.lose(now, machine, f64::INFINITY, effects);
-        self.break_trials(now, machine, false, effects);
-        self.break_trials(now, machine, true, effects);
+        self.break_trials(now, machine, false, Reason::Unknown, effects);
+        self.break_trials(now, machine, true, Reason::Unknown, effects);
     }
 
     /// Ends the attempts at a machine that have left this process, or those that have not.
-    fn break_trials(&mut self, now: Seconds, machine: MachineId, left: bool, effects: &mut Vec<Effect>) {
+    fn break_trials(
+        &mut self,
+        now: Seconds,
+        machine: MachineId,
+        left: bool,
+        why: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
         let hit = |j: &Job| j.trial.is_some_and(|t| t.machine == machine && t.left == left);
         let jobs: Vec<RequestId> = self.jobs.iter().filter(|(_, j)| hit(j)).map(|(&id, _)| id).collect();
         for job in jobs {
@@ -725,7 +798,7 @@
                 effects.push(Effect::GiveUp { machine, job });
             }
             let outcome = if left { Outcome::Lost } else { Outcome::ConnectFailed };
-            self.trial_over(now, job, outcome, Reason::Unknown, None, effects);
+            self.trial_over(now, job, outcome, why, None, effects);
         }
     }
 }
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -14,6 +14,15 @@
     Rest,
 }
 
+/// What is owed on a connection of the platform's front.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Owed {
+    /// Jobs that wait for their final answer.
+    pub open: usize,
+    /// Tasks that stand.
+    pub standing: usize,
+}
+
 /// What travels with a job unchanged.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Spec {
@@ -116,6 +125,8 @@
     Failed { owner: Owner, job: RequestId },
     /// A task that stood is over.
     Released { owner: Owner, job: RequestId, outcome: Outcome },
+    /// An owner does what no owner does: its connection is closed once nothing is open on it.
+    Expel { link: u64 },
     /// Follow the list of machines.
     Subscribe,
     /// Jobs or machines changed: watchers have something to read.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -12,8 +12,6 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch, Notify};
 
-/// Bytes that may wait for one box or one owner.
-const MOST_WAITING: usize = 1024 * 1024;
 /// Count. Releases that wait for an owner to come back.
 const MOST_ORPHANS: usize = 4096;
 /// Seconds. A release that found no owner for so long is of no use any more.
@@ -21,11 +19,31 @@
 /// Count. Connections of owners whose address is remembered after they closed.
 const MOST_ORIGINS: usize = 4096;
 
+/// Seconds. A connection on which nothing was said to its owner, and nothing is open, is closed after so long.
+const NOTHING_SAID_S: Seconds = 2.0;
+/// Seconds. So is one on which nothing is open and nothing stands: owners close theirs after 4 s.
+const IDLE_S: Seconds = 8.0;
+
+/// What the limits leave to connections.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Owners' connections.
+    pub owners: usize,
+    /// Bytes that may wait for one owner.
+    pub owner_queue: usize,
+    /// Bytes that may wait for one box.
+    pub box_queue: usize,
+}
+
 /// A span of time; none where it is past, the longest where no clock can tell it.
 pub fn seconds(span: Seconds) -> Duration {
     Duration::try_from_secs_f64(span.max(0.0)).unwrap_or(Duration::MAX)
 }
 
+fn micros(at: Seconds) -> u64 {
+    (at.max(0.0) * 1e6) as u64
+}
+
 /// The Unix clock, made steady: it starts from the system's and never goes back.
 pub struct Clock {
     unix: Seconds,
@@ -57,8 +75,25 @@
     pub outbox: Outbox,
     pub wake: Arc<Notify>,
     ip: IpAddr,
-    /// Its reader is too slow: the connection is cut.
-    pub full: bool,
+    opened: Seconds,
+    /// When it last sent or was sent something of use.
+    pub used: Seconds,
+    /// Something was said to its owner.
+    told: bool,
+    /// It is closed once nothing is open on it.
+    expelled: bool,
+    /// It is to be closed: its owner does not read, or its place is needed.
+    pub closing: Option<&'static str>,
+}
+
+impl OwnerLink {
+    fn push(&mut self, bytes: Vec<u8>, now: Seconds) {
+        if !self.outbox.push(bytes, Tag::Plain) {
+            self.closing = Some("it does not read its answers");
+        }
+        (self.told, self.used) = (true, now);
+        self.wake.notify_one();
+    }
 }
 
 struct Orphan {
@@ -75,6 +110,7 @@
     origins: BTreeMap<u64, IpAddr>,
     orphans: VecDeque<Orphan>,
     effects: Vec<Effect>,
+    pub bounds: Bounds,
     connects: mpsc::UnboundedSender<MachineId>,
     next_link: u64,
     /// No new test of an owner is passed.
@@ -93,7 +129,7 @@
 
 impl Hub {
     /// A hub, and the machines to which a connection is to be held.
-    pub fn new(core: Core) -> (Arc<Hub>, mpsc::UnboundedReceiver<MachineId>) {
+    pub fn new(core: Core, bounds: Bounds) -> (Arc<Hub>, mpsc::UnboundedReceiver<MachineId>) {
         let (connects, wanted) = mpsc::unbounded_channel();
         let inner = Inner {
             core,
@@ -102,6 +138,7 @@
             origins: BTreeMap::new(),
             orphans: VecDeque::new(),
             effects: Vec::new(),
+            bounds,
             connects,
             next_link: 0,
             draining: false,
@@ -217,6 +254,12 @@
                 let cause = if outcome == Outcome::Ok { cause::OVER } else { cause::RESET };
                 self.write_owner(now, owner, owner::release(job.0, cause, None), true);
             }
+            Effect::Expel { link } => {
+                if let Some(link) = self.owners.get_mut(&link) {
+                    link.expelled = true;
+                    link.wake.notify_one();
+                }
+            }
             Effect::Subscribe | Effect::Changed => {}
             Effect::Log(line) => tracing::info!("{line}"),
         }
@@ -229,7 +272,7 @@
         }
         let link = NodeLink {
             address,
-            outbox: Outbox::new(MOST_WAITING),
+            outbox: Outbox::new(self.bounds.box_queue),
             wake: Arc::new(Notify::new()),
             probe: None,
             probes: 0,
@@ -243,7 +286,7 @@
         let Some(link) = self.nodes.get_mut(&machine) else { return };
         if !link.outbox.push(bytes, tag) {
             // The set-up's time-out ends it; a box this far behind is of no use.
-            tracing::warn!(machine = machine.0, "a box does not read; a message to it is dropped");
+            tracing::debug!(machine = machine.0, "a box does not read; a message to it is dropped");
         }
         link.wake.notify_one();
     }
@@ -255,18 +298,15 @@
         let ip = self.origins.get(&origin).copied();
         let same = |l: &OwnerLink| ip.is_none_or(|ip| ip == l.ip);
         let other = |links: &BTreeMap<u64, OwnerLink>| {
-            links.iter().rev().find(|(_, l)| !l.full && same(l)).map(|(&id, _)| id)
+            links.iter().rev().find(|(_, l)| l.closing.is_none() && same(l)).map(|(&id, _)| id)
         };
         let to = match self.owners.get(&origin) {
-            Some(_) => Some(origin),
-            None if standing => other(&self.owners),
-            None => return,
+            Some(link) if link.closing.is_none() || !standing => Some(origin),
+            _ if standing => other(&self.owners),
+            _ => return,
         };
         match to.and_then(|to| self.owners.get_mut(&to)) {
-            Some(link) => {
-                link.full |= !link.outbox.push(bytes, Tag::Plain);
-                link.wake.notify_one();
-            }
+            Some(link) => link.push(bytes, now),
             None => {
                 if self.orphans.len() >= MOST_ORPHANS {
                     self.orphans.pop_front();
@@ -276,17 +316,30 @@
         }
     }
 
-    /// Books a new connection of an owner, which gets what waited for one.
-    pub fn open_owner(&mut self, now: Seconds, ip: IpAddr) -> (u64, Arc<Notify>) {
+    /// Books a new connection of an owner, which gets what waited for one. Where all places are taken, the one of
+    /// least use makes room: silent crowds and owners that stay for good must not keep usual ones out.
+    pub fn open_owner(&mut self, now: Seconds, ip: IpAddr) -> Option<(u64, Arc<Notify>)> {
+        if self.owners.len() >= self.bounds.owners {
+            self.make_room()?;
+        }
         let id = self.next_link;
         self.next_link += 1;
         let wake = Arc::new(Notify::new());
-        let mut outbox = Outbox::new(MOST_WAITING);
-        let mut full = false;
+        let outbox = Outbox::new(self.bounds.owner_queue);
+        let mut link = OwnerLink {
+            outbox,
+            wake: wake.clone(),
+            ip,
+            opened: now,
+            used: now,
+            told: false,
+            expelled: false,
+            closing: None,
+        };
         self.orphans.retain_mut(|orphan| {
             let fits = orphan.ip.is_none_or(|other| other == ip);
             if fits {
-                full |= !outbox.push(std::mem::take(&mut orphan.bytes), Tag::Plain);
+                link.push(std::mem::take(&mut orphan.bytes), now);
             }
             !fits && now - orphan.at < ORPHAN_S
         });
@@ -294,16 +347,44 @@
         if self.origins.len() > MOST_ORIGINS {
             self.origins.pop_first();
         }
-        self.owners.insert(id, OwnerLink { outbox, wake: wake.clone(), ip, full });
-        wake.notify_one();
-        (id, wake)
+        self.owners.insert(id, link);
+        Some((id, wake))
+    }
+
+    /// Closes the connection that is of least use: silent before idle, and idle before one on which something stands;
+    /// of these the one that was used last the longest ago. Nothing where each has something open.
+    fn make_room(&mut self) -> Option<()> {
+        let use_of = |(&id, link): (&u64, &OwnerLink)| {
+            let owed = self.core.owed(id);
+            let free = owed.open == 0 && link.outbox.is_empty();
+            free.then_some(((link.closing.is_none(), owed.standing > 0, link.told, micros(link.used)), id))
+        };
+        let (_, least) = self.owners.iter().filter_map(use_of).min()?;
+        if let Some(link) = self.owners.remove(&least) {
+            link.wake.notify_one();
+        }
+        Some(())
+    }
+
+    /// Why a connection is of no more use, where it is not.
+    pub fn useless(&self, now: Seconds, id: u64) -> Option<&'static str> {
+        let link = self.owners.get(&id)?;
+        let owed = self.core.owed(id);
+        if owed.open > 0 || !link.outbox.is_empty() {
+            return None;
+        }
+        if link.expelled {
+            return Some("it used an id twice");
+        }
+        let silent = !link.told && owed.standing == 0 && now - link.opened > NOTHING_SAID_S;
+        let idle = owed.standing == 0 && now - link.used > IDLE_S;
+        silent.then_some("nothing of use came on it").or(idle.then_some("it is idle"))
     }
 
     /// Answers a connection directly.
-    pub fn say(&mut self, link: u64, bytes: Vec<u8>) {
+    pub fn say(&mut self, now: Seconds, link: u64, bytes: Vec<u8>) {
         if let Some(link) = self.owners.get_mut(&link) {
-            link.full |= !link.outbox.push(bytes, Tag::Plain);
-            link.wake.notify_one();
+            link.push(bytes, now);
         }
     }
 
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -23,6 +23,10 @@
 const LOST_DIALS: u32 = 3;
 /// A probe that is not answered by then has failed.
 const PROBE: Duration = Duration::from_millis(1000);
+/// A line that is not whole so long after its last byte never will be.
+const HALF: Duration = Duration::from_millis(500);
+/// A connection that ends so soon after it came up is not dialled anew at once.
+const SHORT: Duration = Duration::from_millis(50);
 /// Waits between dials: the first, and the longest.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
 
@@ -78,7 +82,8 @@
         while let Some((address, wake)) = self.address() {
             match self.dial(&address).await {
                 Dialled::Up(stream) => {
-                    (wait, silent) = (AGAIN.0, 0);
+                    let up = Instant::now();
+                    silent = 0;
                     let _ = stream.set_nodelay(true);
                     let end = self.talk(&stream, &address, &wake).await;
                     if let Some(link) = self.hub.lock().nodes.get_mut(&machine) {
@@ -87,11 +92,14 @@
                     self.fail_probe(Outcome::Lost);
                     self.tell(Input::LinkBroken { machine });
                     if let Err(error) = end {
-                        tracing::debug!(machine = machine.0, %error, "the connection to a box broke");
+                        tracing::info!(machine = machine.0, %error, "the connection to a box broke");
                         // What lies in the socket must not reach a box that comes back.
                         let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     }
-                    continue;
+                    if up.elapsed() > SHORT {
+                        wait = AGAIN.0;
+                        continue;
+                    }
                 }
                 Dialled::Refused => {
                     // Its process is gone, and with it what stood there.
@@ -107,6 +115,7 @@
                 }
             }
             self.fail_probe(Outcome::ConnectFailed);
+            // Whatever it is that resets new connections must not have the planner dial without end.
             tokio::select! {
                 () = sleep(wait) => {}
                 () = wake.notified() => {}
@@ -140,6 +149,9 @@
             tokio::select! {
                 () = wake.notified() => {}
                 _ = looks.tick() => {
+                    if !buffer.is_empty() && heard.elapsed() > HALF {
+                        return Err(io::Error::new(io::ErrorKind::TimedOut, "half a line"));
+                    }
                     let (probing, held) = {
                         let inner = self.hub.lock();
                         let link = inner.nodes.get(&self.machine);
@@ -188,9 +200,9 @@
             };
             match node::read(line) {
                 Ok(says) => self.take_in(says),
-                Err(error) => {
-                    tracing::warn!(machine = self.machine.0, %error, "a line of a box is passed over")
-                }
+                // Where one line is spoilt the next may be, too, and what it told is lost: what stands is told of
+                // again on the next connection.
+                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
             }
             buffer.advance(length);
         }
--- a/src/wire/platform/lists.rs
+++ b/src/wire/platform/lists.rs
@@ -1,6 +1,6 @@
 //! Follows the notice board, from the last event that is known, through every break.
 
-use super::board::{self, Event, Line};
+use super::board::{self, Event, Known, Line};
 use super::node::take_line;
 use crate::interface::ListKind;
 use crate::state::Input;
@@ -11,25 +11,51 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::watch::Receiver;
 use tokio::time::timeout;
 
 /// The board writes a line every second: after this long it is taken to be silent.
-const SILENCE: Duration = Duration::from_millis(2500);
+const SILENCE: Duration = Duration::from_millis(2200);
 /// A connection that has not come up by then is tried anew.
 const DIAL: Duration = Duration::from_millis(500);
 /// Waits between tries: the first, and the longest.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
-/// Follows the board for as long as the program runs.
-pub async fn follow(hub: Arc<Hub>, address: String, mut rev: u64) {
+/// Where the notice board is, and what the configuration knows of it.
+#[derive(Clone, Debug)]
+pub struct Source {
+    pub address: Option<String>,
+    pub known: Known,
+}
+
+/// Follows the board for as long as the program runs, to wherever it moves. The numbers go on.
+pub async fn follow(hub: Arc<Hub>, mut source: Receiver<Source>, mut rev: u64) {
     let mut wait = AGAIN.0;
     loop {
+        let Source { address, known } = source.borrow_and_update().clone();
+        // A new configuration may know of events that the old board never told.
+        for event in known.notices.iter().filter(|event| event.rev > rev) {
+            take_in(&hub, event, None);
+        }
+        rev = rev.max(known.rev);
         let before = rev;
-        if let Err(error) = watch(&hub, &address, &mut rev).await {
-            tracing::info!(%error, rev, "the notice board broke off");
+        let followed = async {
+            let Some(address) = &address else { return std::future::pending().await };
+            if let Err(error) = watch(&hub, address, &mut rev).await {
+                tracing::info!(%error, rev, "the notice board broke off");
+            }
+            wait = if rev > before { AGAIN.0 } else { (wait * 2).min(AGAIN.1) };
+            tokio::time::sleep(wait).await;
+        };
+        tokio::select! {
+            () = followed => {}
+            moved = source.changed() => {
+                if moved.is_err() {
+                    return;
+                }
+                wait = AGAIN.0;
+            }
         }
-        wait = if rev > before { AGAIN.0 } else { (wait * 2).min(AGAIN.1) };
-        tokio::time::sleep(wait).await;
     }
 }
 
@@ -53,7 +79,8 @@
                 // It tells of more than it sent: what lies between was lost on the way.
                 Ok(Line::Beat(last)) if last > *rev => return Err(io::ErrorKind::InvalidData.into()),
                 Ok(_) => {}
-                Err(error) => tracing::warn!(%error, "a line of the notice board cannot be read"),
+                // What it told is asked for again.
+                Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
             }
             buffer.advance(length);
         }
--- a/src/wire/platform/node.rs
+++ b/src/wire/platform/node.rs
@@ -93,8 +93,7 @@
     #[serde(default)]
     meta: Map<String, Value>,
     reason: Option<u8>,
-    #[serde(default)]
-    body: String,
+    body: Option<String>,
 }
 
 /// Takes one line off the front, without its end: how many bytes it took, or nothing until more has come.
@@ -122,9 +121,11 @@
     let job = || u64::from_str_radix(&line.uid, 16).map(RequestId).map_err(|_| Malformed::Value("uid"));
     let load = || text(&line.meta, "load").map(|t| Load::parse(&t));
     Ok(match line.kind.as_str() {
-        "running" => Says::Running { job: job()?, body: line.body },
+        "running" => {
+            Says::Running { job: job()?, body: line.body.ok_or(Malformed::Value("the description"))? }
+        }
         "stop" => {
-            let (before, after) = outcomes(line.reason.unwrap_or(cause::RESET));
+            let (before, after) = outcomes(line.reason.ok_or(Malformed::Value("the cause"))?);
             let why = text(&line.meta, "note").map_or(Reason::Unknown, |note| reason(&note));
             Says::Stopped { job: job()?, before, after, why, load: load() }
         }
@@ -140,7 +141,8 @@
                 _ => Says::Free,
             }
         }
-        _ => Says::Free,
+        "staging" | "stopped" => Says::Free,
+        _ => return Err(Malformed::Value("the type")),
     })
 }
 
--- a/src/wire/platform/owner.rs
+++ b/src/wire/platform/owner.rs
@@ -17,8 +17,12 @@
 /// Types of messages.
 pub mod kind {
     pub const SET_UP: u8 = 1;
+    pub const PROGRESS: u8 = 6;
     pub const ANSWER: u8 = 9;
     pub const RELEASE: u8 = 12;
+    pub const RELEASE_HEARD: u8 = 16;
+    pub const NOTE: u8 = 44;
+    pub const MOVE: u8 = 51;
     pub const TEST: u8 = 52;
     pub const TESTED: u8 = 53;
 }
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -7,28 +7,37 @@
 use crate::wire::hub::{Hub, Inner};
 use bytes::{Buf, BytesMut};
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::time::{Instant, MissedTickBehavior};
 
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
 /// Wait after a failed accept, such as for want of descriptors.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// Wait between looks for a free place where all are taken.
-const PLACE_AGAIN: Duration = Duration::from_millis(50);
+/// Time between looks at whether a connection is of use still.
+const LOOK: Duration = Duration::from_millis(250);
+/// A message that is not whole so long after its first byte never will be.
+const HALF: Duration = Duration::from_millis(1500);
+/// After a message that cannot be used, so long nothing is read from its connection: at full speed such messages
+/// would take the time of usual owners.
+const PENALTY: Duration = Duration::from_millis(50);
+/// Count. Messages that cannot be used after which a connection is closed.
+const MOST_FAULTS: u32 = 16;
 
-/// Accepts owners for as long as the program runs; `most` connections at once.
-pub async fn serve(hub: Arc<Hub>, listener: TcpListener, most: usize) {
+/// Accepts owners for as long as the program runs. One that finds no place is closed at once, so that it need not wait.
+pub async fn serve(hub: Arc<Hub>, listener: TcpListener) {
     loop {
-        if hub.lock().owners.len() >= most {
-            tokio::time::sleep(PLACE_AGAIN).await;
-            continue;
-        }
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(connection(hub.clone(), stream));
+            Ok((stream, peer)) => {
+                let place = hub.lock().open_owner(hub.now(), peer.ip());
+                if let Some((id, wake)) = place {
+                    tokio::spawn(connection(hub.clone(), stream, peer, id, wake));
+                }
             }
             Err(error) => {
                 tracing::warn!(%error, "cannot accept");
@@ -38,44 +47,70 @@
     }
 }
 
-async fn connection(hub: Arc<Hub>, stream: TcpStream) {
+async fn connection(hub: Arc<Hub>, stream: TcpStream, peer: SocketAddr, id: u64, wake: Arc<Notify>) {
     let _ = stream.set_nodelay(true);
-    let Ok(peer) = stream.peer_addr() else { return };
-    let (id, wake) = hub.lock().open_owner(hub.now(), peer.ip());
-    let end = talk(&hub, &stream, id, &wake).await;
+    if let Err(error) = talk(&hub, &stream, id, &wake).await {
+        tracing::debug!(%peer, %error, "the connection of an owner ended");
+    }
     hub.lock().owners.remove(&id);
     // A client that closes with set-ups open has given them up.
     hub.apply(Input::OwnerGone { link: id });
-    match end {
-        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-            tracing::warn!(%peer, %error, "closed the connection of an owner");
-        }
-        Err(error) => tracing::debug!(%peer, %error, "the connection of an owner broke"),
-        Ok(()) => {}
-    }
 }
 
-async fn talk(hub: &Hub, stream: &TcpStream, id: u64, wake: &tokio::sync::Notify) -> io::Result<()> {
-    let mut buffer = BytesMut::with_capacity(READ_BYTES);
+async fn talk(hub: &Hub, stream: &TcpStream, id: u64, wake: &Notify) -> io::Result<()> {
+    let mut buffer = BytesMut::new();
+    let mut half_since = None;
+    let mut faults = 0;
+    let mut read_from = Instant::now();
+    let mut looks = tokio::time::interval(LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let waits = {
             let mut inner = hub.lock();
             let Some(link) = inner.owners.get_mut(&id) else { return Ok(()) };
-            if link.full {
-                return Err(io::Error::other("it does not read its answers"));
-            }
             link.outbox.write(stream, &mut Vec::new())?;
+            if let Some(why) = link.closing {
+                return Err(io::Error::other(why));
+            }
             !link.outbox.is_empty()
         };
+        if faults >= MOST_FAULTS && !waits {
+            return Err(io::Error::other("too many messages that cannot be used"));
+        }
         let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+        let ready = async {
+            tokio::time::sleep_until(read_from).await;
+            stream.ready(interest).await
+        };
         tokio::select! {
             () = wake.notified() => {}
-            ready = stream.ready(interest) => {
+            _ = looks.tick() => {
+                let useless = hub.lock().useless(hub.now(), id);
+                let half = half_since.filter(|since: &Instant| since.elapsed() > HALF).map(|_| "half a message");
+                if let Some(why) = useless.or(half) {
+                    return Err(io::Error::other(why));
+                }
+            }
+            ready = ready => {
                 if ready?.is_readable() {
                     buffer.reserve(READ_BYTES);
                     match stream.try_read_buf(&mut buffer) {
                         Ok(0) => return Ok(()),
-                        Ok(_) => hear(hub, id, &mut buffer)?,
+                        Ok(_) => {
+                            let (whole, bad) = hear(hub, id, &mut buffer)?;
+                            if bad > 0 {
+                                faults += bad;
+                                read_from = Instant::now() + PENALTY;
+                            }
+                            half_since = match buffer.is_empty() {
+                                true => None,
+                                false if whole > 0 => Some(Instant::now()),
+                                false => half_since.or_else(|| Some(Instant::now())),
+                            };
+                            if buffer.is_empty() {
+                                buffer = BytesMut::new(); // Idle connections keep no memory.
+                            }
+                        }
                         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                         Err(error) => return Err(error),
                     }
@@ -85,17 +120,20 @@
     }
 }
 
-/// Takes all whole messages that have come.
-fn hear(hub: &Hub, id: u64, buffer: &mut BytesMut) -> io::Result<()> {
+/// Takes all whole messages that have come; tells how many, and how many of them cannot be used.
+fn hear(hub: &Hub, id: u64, buffer: &mut BytesMut) -> io::Result<(u32, u32)> {
+    let (mut whole, mut bad) = (0, 0);
     let mut inner = hub.lock();
     loop {
         let framing = |e: Malformed| io::Error::new(io::ErrorKind::InvalidData, e.to_string());
-        let Some((length, message)) = owner::take(buffer).map_err(framing)? else { return Ok(()) };
+        let Some((length, message)) = owner::take(buffer).map_err(framing)? else { return Ok((whole, bad)) };
+        whole += 1;
         if let Err(error) = message_from(hub, &mut inner, id, &message) {
             // The frame is whole, so the connection goes on; a set-up still gets its one answer.
-            tracing::warn!(kind = message.kind, %error, "a message of an owner cannot be read");
+            tracing::debug!(kind = message.kind, %error, "a message of an owner cannot be used");
+            bad += 1;
             if message.kind == kind::SET_UP {
-                inner.say(id, owner::release(message.task, cause::UNREADABLE, None));
+                inner.say(hub.now(), id, owner::release(message.task, cause::UNREADABLE, None));
             }
         }
         buffer.advance(length);
@@ -104,15 +142,25 @@
 
 fn message_from(hub: &Hub, inner: &mut Inner, id: u64, message: &Message<'_>) -> Result<(), Malformed> {
     let job = RequestId(message.task);
+    let now = hub.now();
     match message.kind {
         kind::SET_UP => {
             let set_up = message.set_up()?;
             let at = set_up.at.clone();
             let class = inner.core.words().class(&set_up.class).ok_or(Malformed::Value("class"))?;
-            let ask = ask(job, id, hub.now(), class, set_up);
+            let ask = ask(job, id, now, class, set_up);
+            // What runs already has been admitted once, and waits for nothing.
+            if at.is_none() {
+                inner.core.admits(now, &ask).map_err(Malformed::Value)?;
+                if !node::fits(job, &ask.spec) {
+                    return Err(Malformed::Value("description"));
+                }
+            }
+            if let Some(link) = inner.owners.get_mut(&id) {
+                link.used = now;
+            }
             let input = match at {
                 Some(name) => Input::Adopt { ask, machine: inner.core.words().machine(&name) },
-                None if !node::fits(job, &ask.spec) => return Err(Malformed::Value("description")),
                 None => Input::Submit(ask),
             };
             hub.apply_in(inner, input);
@@ -123,9 +171,10 @@
         }
         kind::TEST => {
             let passed = !inner.draining;
-            inner.say(id, owner::tested(message.task, passed));
+            inner.say(now, id, owner::tested(message.task, passed));
         }
-        _ => {}
+        kind::PROGRESS | kind::RELEASE_HEARD | kind::NOTE | kind::MOVE | kind::TESTED => {}
+        _ => return Err(Malformed::Value("type")),
     }
     Ok(())
 }
--- a/src/wire/rest/objects.rs
+++ b/src/wire/rest/objects.rs
@@ -72,6 +72,7 @@
         (_, Reason::Evicted) => "evicted for memory",
         (_, Reason::PushedOut) => "pushed out",
         (_, Reason::SentAway) => "sent away by a drain",
+        (_, Reason::Broken) => "the connection to the machine broke",
         (Outcome::Ok, _) => "ended",
         (Outcome::Error, _) => "the machine answered with an error",
         (Outcome::Full, _) => "the machine is full",
--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -1,8 +1,9 @@
 //! The one shared helper: starts the program, plays recorded exchanges against it, and writes down what came.
 //!
-//! A script is a text file. `#` begins a remark. The first lines set the stage: `boxes N`, `rest OPTION...`,
-//! `start`. Then `PEER > BYTES` sends, `PEER <` receives one message, `PEER close` closes, `PEER hush` falls silent, and `term` and `exit`
-//! stop the program. Peers are `o1`… (owners), `b1`… (boxes), `h1`… (HTTP clients), `board`. Bytes that do not
+//! A script is a text file. `#` begins a remark. The first lines set the stage: `boxes N`, `board`, `board2`,
+//! `rest OPTION...`, `start`. Then `PEER > BYTES` sends, `PEER half BYTES` sends a line without its end, `PEER >` only
+//! connects, `PEER <` receives one message, `PEER close` closes, `PEER hush` falls silent, and `term` and `exit`
+//! stop the program; `hup BOARD` has it read a file that names that board, `hup -` one that cannot be read. Peers are `o1`… (owners), `b1`… (boxes), `h1`… (HTTP clients), `board`. Bytes that do not
 //! print stand as `\xNN`. In a transcript, ids that the program drew stand as `J1`…, times as `T`.
 #![allow(dead_code)]
 
@@ -51,6 +52,8 @@
     pub child: Child,
     pub owners: String,
     pub rest: String,
+    config: Value,
+    path: PathBuf,
 }
 
 impl Planner {
@@ -60,6 +63,10 @@
         let first = json!({"rev": 1, "pool": {"reset": true, "instances": instances}});
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "5eed", "board": board,
             "known": {"rev": 1, "notices": [first]}, "settings": settings()});
+        Planner::start_with(config, rest)
+    }
+
+    pub fn start_with(config: Value, rest: Option<&str>) -> Planner {
         let path = unused_path("config.json");
         std::fs::write(&path, config.to_string()).expect("a configuration");
         let mut command = Command::new(env!("CARGO_BIN_EXE_burlhook"));
@@ -90,19 +97,31 @@
             seen += &line;
         }
         std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::stderr()));
-        let _ = (std::fs::remove_file(path), std::fs::remove_file(options));
-        Planner { child, owners, rest: at_rest }
+        let _ = std::fs::remove_file(options);
+        Planner { child, owners, rest: at_rest, config, path }
     }
 
     pub fn term(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Has it read a file that names another board, or one that cannot be read.
+    pub fn reload(&mut self, board: Option<&str>) {
+        self.config["board"] = json!(board);
+        let text = board.map_or("{".to_string(), |_| self.config.to_string());
+        std::fs::write(&self.path, text).expect("a configuration");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
     }
 }
 
 impl Drop for Planner {
     fn drop(&mut self) {
-        let _ = (self.child.kill(), self.child.wait());
+        let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.path));
     }
 }
 
@@ -312,10 +331,10 @@
         let (first, after) = line.split_once(' ').unwrap_or((line, ""));
         match first {
             "#" => continue,
-            "boxes" | "board" if planner.is_none() => {
+            "boxes" | "board" | "board2" if planner.is_none() => {
                 let names: Vec<String> = match after.parse::<usize>() {
                     Ok(count) => (1..=count).map(|n| format!("b{n}")).collect(),
-                    Err(_) => vec!["board".into()],
+                    Err(_) => vec![first.to_string()],
                 };
                 for name in names {
                     let listener = TcpListener::bind("127.0.0.1:0").expect("a place to listen");
@@ -331,8 +350,11 @@
             }
             "start" => {
                 let address = |name: &String| listeners[name].local_addr().expect("an address").to_string();
-                let boxes: Vec<String> =
-                    listeners.keys().filter(|n| n.starts_with('b') && *n != "board").map(address).collect();
+                let boxes: Vec<String> = listeners
+                    .keys()
+                    .filter(|n| n.starts_with('b') && !n.starts_with("board"))
+                    .map(address)
+                    .collect();
                 let board = listeners.contains_key("board").then(|| address(&"board".to_string()));
                 planner = Some(Planner::start(&boxes, board.as_deref(), rest.as_deref()));
                 continue;
@@ -342,6 +364,10 @@
         let running = planner.as_mut().expect("`start` comes first");
         match first {
             "term" => running.term(),
+            "hup" => {
+                let board = listeners.get(after).map(|l| l.local_addr().expect("an address").to_string());
+                running.reload(board.as_deref());
+            }
             "exit" => transcript += &format!("  {}\n", running.child.wait().expect("it ends")),
             _ if after == "close" => drop(wires.remove(first)),
             // It stays open and says nothing more; the next word is on a new connection.
@@ -352,6 +378,13 @@
                     None if first.starts_with('h') => Wire::connect(&running.rest),
                     None => Wire::connect(&running.owners),
                 });
+                if let Some(bytes) = after.strip_prefix("half ") {
+                    wire.send(&unescape(bytes));
+                    continue;
+                }
+                if after == ">" {
+                    continue; // It connects and says nothing.
+                }
                 if let Some(bytes) = after.strip_prefix("> ") {
                     let text = places
                         .iter()
