Forget a gone machine only after a minute, so that one cut off keeps its record

Cause: rules.rs `list` dropped what was out of reach for 10 to 28 s, with its own tasks and doubts. Ruled out: Reason::Broken, which the adapter never says.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,6 +48,9 @@
 const PACE_LEAST_S: Seconds = 2.0;
 /// Share. Weight of a new sample in a learnt usual time.
 const USUAL_WEIGHT: f64 = 0.1;
+/// Seconds. A machine that takes nothing is forgotten so long after the list last named it; one that was
+/// only out of reach comes back before.
+const GONE_S: Seconds = 60.0;
 /// Seconds. Age past which word of a machine's use no longer raises its load.
 const USE_FRESH_S: Seconds = 3.0;
 /// Seconds. How often a machine is probed where only probes bring reports.
@@ -131,6 +134,8 @@
     limit: Room,
     /// Rule 3: false from the moment a drain or departure is heard of.
     ready: bool,
+    /// When the list last named it.
+    listed_at: Seconds,
     /// When it last came up, from the list or from its own return; 0 for long ago.
     up_since: Seconds,
     /// Room asked for in the late view, where one came, and the time that it shows.
@@ -429,12 +434,8 @@
             }
             machine.forget(now);
         }
-        // On a long day machines and services come and go: of those that went nothing is kept.
-        let gone = |e: &&Entry| e.standing == Standing::Gone;
-        entries.iter().filter(gone).for_each(|e| drop(self.machines.remove(&e.machine)));
-        if kind == ListKind::Whole {
-            self.machines.retain(|id, _| named.contains(id));
-        }
+        // On a long day machines and services come and go: of those that went for good nothing is kept.
+        self.machines.retain(|_, m| m.ready || now < m.listed_at + GONE_S);
         self.machines.values_mut().for_each(|m| m.kept.retain(|_, until| now < *until));
     }
 
@@ -446,6 +447,7 @@
         let settings = &self.settings;
         let machine = self.machines.entry(entry.machine).or_insert_with(|| Machine::new(entry, settings));
         machine.ready = entry.standing == Standing::Ready;
+        machine.listed_at = now;
         (machine.zone, machine.cell) = (entry.zone, entry.cell);
         if entry.started > machine.up_since {
             machine.up_since = entry.started;
