Bound jobs, names and adopted tasks by the memory limit; one machine an address

Found by reading beside it: jobs were bounded by count (50,000, up to 16 KiB each, in 32 MB), tasks said to stand at a box that nobody knows stayed for good (state/mod.rs `adopt`), names of machines too (settings.rs `machine`), and a box at an old one's address got what was sent to the old one until the list said that it had gone. Now: a quarter of the memory for what waits and for what stands, 1,000 set-ups a connection, unlisted boxes' tasks are lost after 2.5 s, names of gone machines go, the later start has an address, a link task knows its own life.

--- a/src/life/config.rs
+++ b/src/life/config.rs
@@ -38,6 +38,10 @@
 const OWNERS_SHARE: f64 = 0.5;
 /// Share of the memory that may wait in the queues of all owners' connections, and in those of all boxes.
 const QUEUES_SHARE: f64 = 0.125;
+/// Share of the memory that jobs which wait may take, and that tasks which stand may take.
+const JOBS_SHARE: f64 = 0.25;
+/// Bytes that a task which stands takes, at most.
+const STANDING_BYTES: f64 = 2048.0;
 /// Bytes. The least and the most that may wait for one owner or one box.
 const QUEUE: (f64, f64) = (64.0 * 1024.0, 1024.0 * 1024.0);
 /// Count. Boxes among which their share of the memory is divided.
@@ -59,6 +63,12 @@
 }
 
 impl Limits {
+    /// What follows from the limits for jobs: bytes of those that wait, and how many may stand.
+    pub fn jobs(&self) -> (usize, usize) {
+        let share = self.memory_mb.max(0.0) * MEGABYTE * JOBS_SHARE;
+        (share as usize, (share / STANDING_BYTES) as usize)
+    }
+
     /// What follows from the limits for the connections.
     pub fn bounds(&self) -> Bounds {
         let owners = (f64::from(self.sockets) * OWNERS_SHARE).max(1.0);
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -107,11 +107,13 @@
 fn core_of(config: &Config) -> Result<Core, ConfigError> {
     let (settings, words) = settings::settings(&config.settings).map_err(ConfigError::Settings)?;
     // Where nobody can look, nothing is kept for looking at.
-    let nothing = Keep { history: 0, over: 0, over_s: 0.0 };
+    let (waiting_bytes, standing) = config.limits.jobs();
+    let nothing = Keep { waiting_bytes, standing, history: 0, over: 0, over_s: 0.0 };
     let keep = config.rest.as_ref().map_or(nothing, |rest| Keep {
         history: rest.history,
         over: rest.keep_over,
         over_s: rest.keep_over_s,
+        ..nothing
     });
     Core::new(settings, words, config.seed, keep).map_err(|e| ConfigError::Settings(e.to_string()))
 }
--- a/src/life/settings.rs
+++ b/src/life/settings.rs
@@ -11,7 +11,8 @@
 /// The names of one instance: machines as it met them, and the orders of its settings.
 pub struct Vocabulary {
     numbers: BTreeMap<String, MachineId>,
-    names: Vec<String>,
+    names: BTreeMap<MachineId, String>,
+    next: u32,
     classes: Vec<String>,
     tenants: Vec<String>,
     zones: Vec<String>,
@@ -29,8 +30,9 @@
         if let Some(&id) = self.numbers.get(name) {
             return id;
         }
-        let id = MachineId(self.names.len() as u32);
-        self.names.push(name.to_string());
+        let id = MachineId(self.next);
+        self.next += 1;
+        self.names.insert(id, name.to_string());
         self.numbers.insert(name.to_string(), id);
         id
     }
@@ -42,7 +44,18 @@
 
     /// The name of a machine.
     pub fn name(&self, machine: MachineId) -> String {
-        self.names.get(machine.0 as usize).cloned().unwrap_or_default()
+        self.names.get(&machine).cloned().unwrap_or_default()
+    }
+
+    /// How many machines are known by name.
+    pub fn machines(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Forgets the names of all other machines. A number is never given twice.
+    pub fn keep_machines(&mut self, keep: impl Fn(MachineId) -> bool) {
+        self.numbers.retain(|_, id| keep(*id));
+        self.names.retain(|id, _| keep(*id));
     }
 
     /// The index of a class.
@@ -214,7 +227,8 @@
     let price = |name: &str| boot.deductions.get(name).copied().unwrap_or(0.0);
     let words = Vocabulary {
         numbers: BTreeMap::new(),
-        names: Vec::new(),
+        names: BTreeMap::new(),
+        next: 0,
         classes: boot.grades.iter().map(|g| g.name.clone()).collect(),
         tenants: boot.tenants.iter().map(|t| t.name.clone()).collect(),
         zones: boot.areas.clone(),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -21,8 +21,14 @@
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
 
-/// Count. Jobs that may be open at once; beyond it a job is turned away before the module hears of it.
-const MOST_JOBS: usize = 50_000;
+/// Bytes that a job takes beside its description.
+const JOB_BYTES: usize = 1024;
+/// Count. Jobs that may wait on one connection: no owner alone may take what all share.
+const MOST_ON_LINK: usize = 1000;
+/// Seconds. A task that stands at a machine which the list has not named by then counts as lost.
+const UNLISTED_S: Seconds = 2.5;
+/// Count. Names kept of machines that are no more, before they are gone through.
+const OLD_NAMES: usize = 64;
 /// Seconds. A refusal so close to the deadline is told as the deadline's.
 const NEAR_DEADLINE_S: Seconds = 0.05;
 /// Seconds. When a job that was turned away at the door may come back.
@@ -79,9 +85,17 @@
     Placer,
     GiveUp(RequestId, AttemptNo),
     Answer(RequestId),
+    Unlisted(RequestId),
     Forget(RequestId),
 }
 
+/// The jobs of one connection that are not over.
+#[derive(Default)]
+struct LinkJobs {
+    jobs: BTreeSet<RequestId>,
+    open: usize,
+}
+
 /// The one reducer.
 pub struct Core {
     placer: Placer,
@@ -91,10 +105,12 @@
     nodes: BTreeMap<MachineId, Node>,
     keys: BTreeMap<(String, String), RequestId>,
     /// The jobs that are not over, by the connection that they came on.
-    links: BTreeMap<u64, BTreeSet<RequestId>>,
+    links: BTreeMap<u64, LinkJobs>,
     alarms: BinaryHeap<Reverse<(u64, Alarm)>>,
     over: VecDeque<RequestId>,
     pending: usize,
+    /// What the jobs that wait take.
+    pending_bytes: usize,
     open_rest: usize,
     keep: Keep,
     history: History,
@@ -127,6 +143,7 @@
             alarms: BinaryHeap::new(),
             over: VecDeque::new(),
             pending: 0,
+            pending_bytes: 0,
             open_rest: 0,
             keep,
             history: History::new(keep.history),
@@ -150,17 +167,14 @@
 
     /// Whether no further job is taken.
     pub fn is_full(&self) -> bool {
-        self.pending >= MOST_JOBS
+        self.pending_bytes >= self.keep.waiting_bytes
     }
 
     /// What is owed on a connection.
     pub fn owed(&self, link: u64) -> Owed {
-        let jobs = self.links.get(&link).into_iter().flatten().filter_map(|id| self.jobs.get(id));
-        let count = |owed: Owed, job: &Job| match job.phase {
-            Phase::Pending => Owed { open: owed.open + 1, ..owed },
-            _ => Owed { standing: owed.standing + 1, ..owed },
-        };
-        jobs.fold(Owed::default(), count)
+        self.links
+            .get(&link)
+            .map_or(Owed::default(), |of| Owed { open: of.open, standing: of.jobs.len() - of.open })
     }
 
     /// Whether a job is one that some machine could take, within the times that the settings know. What no machine
@@ -270,7 +284,7 @@
             Input::OwnerGone { link } => {
                 let open = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.phase == Phase::Pending);
                 let gone: Vec<RequestId> =
-                    self.links.get(&link).into_iter().flatten().copied().filter(open).collect();
+                    self.links.get(&link).map_or(vec![], |of| of.jobs.iter().copied().filter(open).collect());
                 for job in gone {
                     self.cancel(now, job, 0, effects);
                 }
@@ -363,6 +377,13 @@
                         self.take_back(now, job, true, effects);
                     }
                 }
+                Alarm::Unlisted(job) => {
+                    let machine =
+                        self.jobs.get(&job).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
+                    if machine.is_some_and(|machine| !self.nodes.contains_key(&machine)) {
+                        self.standing_over(now, job, Outcome::Lost, Reason::Unknown, None, effects);
+                    }
+                }
                 Alarm::Forget(job) => self.forget(job, effects),
             }
         }
@@ -376,12 +397,12 @@
         if self.jobs.contains_key(&id) {
             return self.used_twice(now, id, owner, effects);
         }
-        if self.is_full() {
+        let crowded = matches!(owner, Owner::Link(link) if self.owed(link).open >= MOST_ON_LINK);
+        if self.is_full() || crowded {
             let (why, retry_in_s) = (Refusal::Busy, DOOR_RETRY_S);
             return effects.push(Effect::Refused { owner, job: id, why, retry_in_s });
         }
         self.add(now, ask, Phase::Pending);
-        self.pending += 1;
         self.changed(id, ChangeKind::Added, effects);
         self.alarm(task.deadline + FORCED_ANSWER_S, Alarm::Answer(id));
         self.feed(now, Event::Submitted { request: id, task }, effects);
@@ -430,23 +451,44 @@
         match job.owner {
             Owner::Rest => self.open_rest += 1,
             Owner::Link(link) => {
-                self.links.entry(link).or_default().insert(ask.job);
+                self.links.entry(link).or_default().jobs.insert(ask.job);
             }
         }
         self.jobs.insert(ask.job, job);
+        if phase == Phase::Pending {
+            self.count_waiting(ask.job, true);
+        }
+    }
+
+    /// Books a job as one that waits, or as one that does so no more.
+    fn count_waiting(&mut self, id: RequestId, waits: bool) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let step = |count: usize, by: usize| if waits { count + by } else { count.saturating_sub(by) };
+        self.pending = step(self.pending, 1);
+        self.pending_bytes = step(self.pending_bytes, JOB_BYTES + job.spec.body.len());
+        if let Owner::Link(link) = job.owner {
+            let of_link = self.links.entry(link).or_default();
+            of_link.open = step(of_link.open, 1);
+        }
     }
 
     fn adopt(&mut self, now: Seconds, ask: Ask, machine: MachineId, effects: &mut Vec<Effect>) {
         if self.jobs.contains_key(&ask.job) {
             return; // It may name what is held already.
         }
-        let (id, task) = (ask.job, ask.task);
+        let (id, task, owner) = (ask.job, ask.task, ask.owner);
+        if self.jobs.len() - self.pending - self.over.len() >= self.keep.standing {
+            return effects.push(Effect::Released { owner, job: id, outcome: Outcome::Lost });
+        }
         self.add(now, ask, Phase::Running);
         if let Some(job) = self.jobs.get_mut(&id) {
             (job.attempts, job.machine, job.placed_at) = (1, Some(machine), now);
         }
         if let Some(node) = self.nodes.get_mut(&machine) {
             node.standing.insert(id);
+        } else {
+            // A machine that nobody knows will never tell of its end.
+            self.alarm(now + UNLISTED_S, Alarm::Unlisted(id));
         }
         self.changed(id, ChangeKind::Added, effects);
         self.feed(now, Event::Resident { request: id, task, machine }, effects);
@@ -496,7 +538,8 @@
         (job.phase, job.machine, job.placed_at) = (Phase::Running, Some(at), now);
         job.risky_since = job.risky_since.or(Some(trial.at));
         let owner = job.owner;
-        self.pending -= 1;
+        self.count_waiting(id, false);
+        self.lighten(id);
         if let Some(node) = self.nodes.get_mut(&at) {
             node.standing.insert(id);
         }
@@ -506,6 +549,13 @@
         self.feed(now, event, effects);
     }
 
+    /// What stands needs no description any more, unless it can be looked at.
+    fn lighten(&mut self, id: RequestId) {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.owner != Owner::Rest) {
+            job.spec = Arc::new(Spec { body: String::new(), ..Spec::clone(&job.spec) });
+        }
+    }
+
     /// An attempt that was out has an outcome.
     fn trial_over(
         &mut self,
@@ -625,16 +675,16 @@
 
     /// Takes a job out of the open ones; it can be looked at for a while where anybody can look.
     fn close(&mut self, now: Seconds, id: RequestId, phase: Phase, effects: &mut Vec<Effect>) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        if job.phase == Phase::Pending {
-            self.pending -= 1;
+        if self.jobs.get(&id).is_some_and(|j| j.phase == Phase::Pending) {
+            self.count_waiting(id, false);
         }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         match job.owner {
             Owner::Rest => self.open_rest -= 1,
             Owner::Link(link) => {
                 if let Entry_::Occupied(mut of_link) = self.links.entry(link) {
-                    of_link.get_mut().remove(&id);
-                    if of_link.get().is_empty() {
+                    of_link.get_mut().jobs.remove(&id);
+                    if of_link.get().jobs.is_empty() {
                         of_link.remove();
                     }
                 }
@@ -705,6 +755,7 @@
             };
             notices.extend(missing.map(|(_, n)| gone(n)).collect::<Vec<_>>());
         }
+        self.replace(&mut notices);
         let restarted: Vec<(MachineId, Seconds)> =
             notices.iter().filter_map(|n| self.notice(n, effects)).collect();
         let entries: Vec<Entry> = notices.into_iter().map(|n| n.entry).collect();
@@ -723,6 +774,7 @@
                 effects.push(Effect::Disconnect { machine });
             }
         }
+        self.forget_names();
         let unsent = |j: &Job| j.trial.filter(|t| !t.left && !self.is_ready(t.machine));
         let drained: Vec<(RequestId, MachineId)> =
             self.jobs.iter().filter_map(|(&id, j)| unsent(j).map(|t| (id, t.machine))).collect();
@@ -732,6 +784,34 @@
         }
     }
 
+    /// Where a machine is told of at the address of another, the one that started later has it. The other is gone,
+    /// though the list does not say so yet: what is sent to it would reach its successor.
+    fn replace(&self, notices: &mut Vec<Notice>) {
+        let mut gone = Vec::new();
+        for notice in notices.iter_mut().filter(|n| n.entry.standing != Standing::Gone) {
+            let same =
+                |(id, n): &(&MachineId, &Node)| **id != notice.entry.machine && n.address == notice.address;
+            let Some((_, other)) = self.nodes.iter().find(same) else { continue };
+            if other.entry.started > notice.entry.started {
+                notice.entry.standing = Standing::Gone;
+            } else if notice.entry.standing == Standing::Ready {
+                let entry = Entry { standing: Standing::Gone, ..other.entry };
+                gone.push(Notice { entry, address: other.address.clone() });
+            }
+        }
+        notices.retain(|n| !gone.iter().any(|g| g.entry.machine == n.entry.machine));
+        notices.splice(0..0, gone);
+    }
+
+    /// Forgets the names of machines that nothing refers to any more.
+    fn forget_names(&mut self) {
+        if self.words.machines() > 2 * self.nodes.len() + OLD_NAMES {
+            let of_jobs = self.jobs.values().filter_map(|j| j.machine);
+            let used: BTreeSet<MachineId> = self.nodes.keys().copied().chain(of_jobs).collect();
+            self.words.keep_machines(|id| used.contains(&id));
+        }
+    }
+
     fn is_ready(&self, machine: MachineId) -> bool {
         self.nodes.get(&machine).is_some_and(|n| n.entry.standing == Standing::Ready)
     }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -20,7 +20,7 @@
             "permissions": {"max_attempts": 4}, "report": {"source": "silent"},
             "rules": {"ask_every_s": 10.0, "fall_s": 2.0, "warm_within_s": 16.0}, "tick_s": 0.002, "zone": "z"});
         let (settings, words) = settings::settings(&boot).expect("settings");
-        let keep = Keep { history: 100, over: 10, over_s: 100.0 };
+        let keep = Keep { waiting_bytes: 1 << 20, standing: 3, history: 100, over: 10, over_s: 100.0 };
         let mut bench = Bench { core: Core::new(settings, words, 7, keep).expect("a core"), now: 100.0 };
         bench.list(&[(0, Standing::Ready), (1, Standing::Ready)]);
         bench
@@ -31,7 +31,7 @@
             let (machine, key) = (MachineId(n), MachineKey(u64::from(n)));
             let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 9.0, memory: 18.0 });
             let entry = Entry { machine, key, zone, cell, kind: Some(0), standing, free, started: 0.0 };
-            Notice { entry, address: "a:1".into() }
+            Notice { entry, address: format!("a:{}", n % 10) }
         };
         self.tell(Input::List { kind: ListKind::Changes, notices: machines.iter().map(notice).collect() })
     }
@@ -171,3 +171,89 @@
     assert_eq!(bench.core.job(RequestId(4)).expect("a job").risky_since, None);
     assert!(at.0 < 2);
 }
+
+/// Guards usual owners against one that uses an id twice: neither ask of it is served, and another's goes on.
+#[test]
+fn an_id_in_use_is_served_to_its_first_owner_alone() {
+    for link in [1, 2] {
+        let mut bench = Bench::new("repeatable");
+        let at = launched(&bench.submit(1, None)).expect("a launch");
+        bench.tell(Input::Sent { job: RequestId(1), attempt: 0 });
+        let spec = Arc::new(Spec { class: "c".into(), ..Spec::default() });
+        let task = bench.core.job(RequestId(1)).expect("a job").task;
+        let twice =
+            bench.tell(Input::Submit(Ask { job: RequestId(1), owner: Owner::Link(link), spec, task }));
+        assert!(twice.contains(&Effect::Expel { link }));
+        let first_ended = link == 1;
+        assert_eq!(twice.contains(&Effect::Failed { owner: Owner::Link(1), job: RequestId(1) }), first_ended);
+        assert_eq!(answers(&bench.bound(at, 1)), usize::from(!first_ended));
+    }
+}
+
+/// Guards memory against tasks said to stand where nobody can tell of their end, and against any number of them.
+#[test]
+fn what_is_said_to_stand_is_bounded() {
+    let mut bench = Bench::new("repeatable");
+    let adopt = |bench: &mut Bench, job: u64, machine: u32| {
+        let task = Task {
+            class: 0,
+            tenant: None,
+            service: ServiceId(1),
+            room: Room { cores: 1.0, memory: 1.0 },
+            deadline: bench.now,
+            life_s: None,
+        };
+        let spec = Arc::new(Spec { class: "c".into(), ..Spec::default() });
+        let ask = Ask { job: RequestId(job), owner: Owner::Link(1), spec, task };
+        bench.tell(Input::Adopt { ask, machine: MachineId(machine) })
+    };
+    let lost = |job| Effect::Released { owner: Owner::Link(1), job: RequestId(job), outcome: Outcome::Lost };
+    adopt(&mut bench, 1, 0);
+    adopt(&mut bench, 2, 99);
+    adopt(&mut bench, 3, 1);
+    assert_eq!(adopt(&mut bench, 4, 1), [lost(4)]);
+    assert_eq!(bench.at(103.0), [lost(2)]);
+    assert_eq!(bench.core.owed(1), Owed { open: 0, standing: 2 });
+}
+
+/// Guards those who share the planner against one connection, and its memory against all of them.
+#[test]
+fn what_waits_is_bounded() {
+    let mut bench = Bench::new("repeatable");
+    bench.list(&[(0, Standing::Gone), (1, Standing::Gone)]);
+    let busy =
+        |effects: &[Effect]| effects.iter().any(|e| matches!(e, Effect::Refused { why: Refusal::Busy, .. }));
+    let first = (1..).find(|&job| busy(&bench.submit(job, None))).expect("an end");
+    assert_eq!(first, MOST_ON_LINK as u64 + 1);
+    let more = (first..).find(|&job| busy(&bench.submit(job, Some("k")))).expect("an end");
+    assert_eq!(more, (1 << 20) / JOB_BYTES as u64 + 1);
+    bench.tell(Input::OwnerGone { link: 1 });
+    assert_eq!((bench.core.owed(1), bench.core.is_full()), (Owed::default(), false));
+}
+
+/// Guards a new machine at an old one's address: nothing more is sent to the old one, and what stood there is over.
+#[test]
+fn an_address_has_one_machine() {
+    let mut bench = Bench::new("repeatable");
+    bench.list(&[(1, Standing::Gone)]);
+    assert_eq!(launched(&bench.submit(1, None)), Some(MachineId(0)));
+    bench.tell(Input::Sent { job: RequestId(1), attempt: 0 });
+    bench.bound(MachineId(0), 1);
+    let replaced = bench.list(&[(10, Standing::Ready)]);
+    let lost = Effect::Released { owner: Owner::Link(1), job: RequestId(1), outcome: Outcome::Lost };
+    assert!(replaced.contains(&Effect::Disconnect { machine: MachineId(0) }) && replaced.contains(&lost));
+    assert_eq!(launched(&bench.submit(2, None)), Some(MachineId(10)));
+}
+
+/// Guards a long day's memory: new names come for ever, and those of machines that are gone are let go.
+#[test]
+fn names_of_gone_machines_are_let_go() {
+    let mut bench = Bench::new("repeatable");
+    for n in 0..1000 {
+        let machine = bench.core.words().machine(&format!("box-{n}"));
+        bench.list(&[(machine.0, Standing::Ready)]);
+        bench.list(&[(machine.0, Standing::Gone)]);
+    }
+    assert!(bench.core.words().machines() < 100);
+    assert_eq!(bench.core.words().machine("box-1000"), MachineId(1000));
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -174,9 +174,13 @@
     }
 }
 
-/// How much the core keeps for those who watch.
+/// How much the core keeps.
 #[derive(Clone, Copy, Debug)]
 pub struct Keep {
+    /// Bytes that all jobs which wait may take.
+    pub waiting_bytes: usize,
+    /// Tasks that may stand.
+    pub standing: usize,
     /// Changes kept; none where nobody can watch.
     pub history: usize,
     /// Jobs that are over and can still be looked at.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -63,6 +63,8 @@
 
 /// A machine's connection, as seen from the hub.
 pub struct NodeLink {
+    /// Tells it from an earlier one to the same machine, whose task may not have ended yet.
+    pub life: u64,
     pub address: String,
     pub outbox: Outbox,
     pub wake: Arc<Notify>,
@@ -111,7 +113,7 @@
     orphans: VecDeque<Orphan>,
     effects: Vec<Effect>,
     pub bounds: Bounds,
-    connects: mpsc::UnboundedSender<MachineId>,
+    connects: mpsc::UnboundedSender<(MachineId, u64)>,
     next_link: u64,
     /// No new test of an owner is passed.
     pub draining: bool,
@@ -129,7 +131,7 @@
 
 impl Hub {
     /// A hub, and the machines to which a connection is to be held.
-    pub fn new(core: Core, bounds: Bounds) -> (Arc<Hub>, mpsc::UnboundedReceiver<MachineId>) {
+    pub fn new(core: Core, bounds: Bounds) -> (Arc<Hub>, mpsc::UnboundedReceiver<(MachineId, u64)>) {
         let (connects, wanted) = mpsc::unbounded_channel();
         let inner = Inner {
             core,
@@ -270,7 +272,10 @@
             link.address = address;
             return link.wake.notify_one();
         }
+        let life = self.next_link;
+        self.next_link += 1;
         let link = NodeLink {
+            life,
             address,
             outbox: Outbox::new(self.bounds.box_queue),
             wake: Arc::new(Notify::new()),
@@ -279,7 +284,7 @@
         };
         self.nodes.insert(machine, link);
         // The receiver lives as long as the program; once it is gone no connection is wanted.
-        let _ = self.connects.send(machine);
+        let _ = self.connects.send((machine, life));
     }
 
     fn write_node(&mut self, machine: MachineId, bytes: Vec<u8>, tag: Tag) {
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -31,9 +31,13 @@
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
 
 /// Starts a task for every machine that is to be connected.
-pub async fn hold_links(hub: Arc<Hub>, mut wanted: mpsc::UnboundedReceiver<MachineId>, dial: Duration) {
-    while let Some(machine) = wanted.recv().await {
-        tokio::spawn(Link { hub: hub.clone(), machine, dial }.hold());
+pub async fn hold_links(
+    hub: Arc<Hub>,
+    mut wanted: mpsc::UnboundedReceiver<(MachineId, u64)>,
+    dial: Duration,
+) {
+    while let Some((machine, life)) = wanted.recv().await {
+        tokio::spawn(Link { hub: hub.clone(), machine, life, dial }.hold());
     }
 }
 
@@ -47,13 +51,16 @@
 struct Link {
     hub: Arc<Hub>,
     machine: MachineId,
+    life: u64,
     dial: Duration,
 }
 
 impl Link {
     /// Where the machine listens, until it leaves the list.
     fn address(&self) -> Option<(String, Arc<Notify>)> {
-        self.hub.lock().nodes.get(&self.machine).map(|l| (l.address.clone(), l.wake.clone()))
+        let inner = self.hub.lock();
+        let link = inner.nodes.get(&self.machine).filter(|l| l.life == self.life);
+        link.map(|l| (l.address.clone(), l.wake.clone()))
     }
 
     async fn dial(&self, address: &str) -> Dialled {
@@ -86,13 +93,16 @@
                     silent = 0;
                     let _ = stream.set_nodelay(true);
                     let end = self.talk(&stream, &address, &wake).await;
+                    if self.address().is_none() {
+                        return; // It left the list; should it be back already, that is another's to tell of.
+                    }
                     if let Some(link) = self.hub.lock().nodes.get_mut(&machine) {
                         link.outbox.reset();
                     }
                     self.fail_probe(Outcome::Lost);
                     self.tell(Input::LinkBroken { machine });
                     if let Err(error) = end {
-                        tracing::info!(machine = machine.0, %error, "the connection to a box broke");
+                        tracing::debug!(machine = machine.0, %error, "the connection to a box broke");
                         // What lies in the socket must not reach a box that comes back.
                         let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     }
@@ -135,7 +145,11 @@
         loop {
             let waits = {
                 let mut inner = self.hub.lock();
-                let Some(link) = inner.nodes.get_mut(&self.machine).filter(|l| l.address == address) else {
+                let Some(link) = inner
+                    .nodes
+                    .get_mut(&self.machine)
+                    .filter(|l| l.life == self.life && l.address == address)
+                else {
                     return Ok(());
                 };
                 link.outbox.write(stream, &mut left)?;
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -137,6 +137,10 @@
             }
         }
         buffer.advance(length);
+        if bad >= MOST_FAULTS {
+            buffer.clear();
+            return Ok((whole, bad));
+        }
     }
 }
 
--- a/src/wire/rest/mod.rs
+++ b/src/wire/rest/mod.rs
@@ -32,7 +32,7 @@
 use tokio::sync::Semaphore;
 
 /// A connection that does not send its headers by then is closed.
-const HEADERS: Duration = Duration::from_secs(5);
+const HEADERS: Duration = Duration::from_secs(2);
 /// Seconds. The longest time that can be set.
 const MOST_S: f64 = 86_400.0;
 /// Wait after a failed accept.
--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -66,6 +66,13 @@
         Planner::start_with(config, rest)
     }
 
+    /// One that knows no box, with so many descriptors.
+    pub fn small(sockets: u32) -> Planner {
+        let limits = json!({"cores": 0.2, "memory_mb": 32, "sockets": sockets});
+        let config = json!({"listen": "127.0.0.1:0", "limits": limits, "settings": settings()});
+        Planner::start_with(config, None)
+    }
+
     pub fn start_with(config: Value, rest: Option<&str>) -> Planner {
         let path = unused_path("config.json");
         std::fs::write(&path, config.to_string()).expect("a configuration");
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -79,6 +79,38 @@
     assert_eq!(cause, 41);
 }
 
+/// Guards usual owners against a crowd that connects and says nothing: it is the crowd that makes room.
+#[test]
+fn a_silent_crowd_keeps_nobody_out() {
+    let planner = Planner::small(32);
+    let test = unescape("\\x00\\x0d4\\x00\\x00\\x00\\x00\\x00\\x00\\x00\\x09\\x11\\x00\\x01\\x00");
+    let mut usual = Wire::connect(&planner.owners);
+    usual.send(&test);
+    usual.frame().expect("a passed test");
+    let mut crowd: Vec<Wire> = (0..100).map(|_| Wire::connect(&planner.owners)).collect();
+    let mut late = Wire::connect(&planner.owners);
+    for wire in [&mut late, &mut usual] {
+        wire.send(&test);
+        assert_eq!(wire.frame().expect("a passed test")[2], 53);
+    }
+    assert!(crowd.iter_mut().all(|wire| wire.frame().is_none()), "each is closed in its turn");
+}
+
+/// Guards usual owners' time against one that floods with what cannot be used: it is told so, and then closed.
+#[test]
+fn a_flood_of_what_cannot_be_used_ends() {
+    let planner = Planner::small(32);
+    let mut flood = Wire::connect(&planner.owners);
+    let bad = unescape("\\x00\\x09\\x01\\x00\\x00\\x00\\x00\\x00\\x00\\x00\\x03");
+    let mut refusals = 0;
+    flood.send(&bad.repeat(40));
+    while let Some(refusal) = flood.frame() {
+        assert_eq!((refusal[2], refusal.last()), (12, Some(&100)));
+        refusals += 1;
+    }
+    assert_eq!(refusals, 16);
+}
+
 /// Guards the planner's memory: a watcher that does not read is cut, and the others go on.
 #[test]
 fn a_watcher_that_does_not_read_is_cut() {
