Keep what stands at a draining box that refuses new connections

Now Input::DialRefused: what stands at a draining box stays until the list calls the box gone, for 5 s at most, since an end of which no word came is to be told within 8 s.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -27,6 +27,9 @@
 const MOST_ON_LINK: usize = 1000;
 /// Seconds. A task that stands at a machine which the list has not named by then counts as lost.
 const UNLISTED_S: Seconds = 2.5;
+/// Seconds. So long a machine that drains and refuses connections is taken to hold what stands there. An end of
+/// which no word came is to be told within 8 s.
+const DRAIN_KEEPS_S: Seconds = 5.0;
 /// Count. Names kept of machines that are no more, before they are gone through.
 const OLD_NAMES: usize = 64;
 /// Seconds. A refusal so close to the deadline is told as the deadline's.
@@ -77,6 +80,8 @@
     entry: Entry,
     address: String,
     standing: BTreeSet<RequestId>,
+    /// Since when it refuses connections while it drains.
+    refuses_since: Option<Seconds>,
     version: u64,
 }
 
@@ -318,6 +323,7 @@
                 self.feed(now, Event::Probed { machine, outcome, report }, effects);
             }
             Input::DialFailed { machine } => self.break_trials(now, machine, false, Reason::Unknown, effects),
+            Input::DialRefused { machine } => self.dial_refused(now, machine, effects),
             Input::LinkBroken { machine } => self.break_trials(now, machine, true, Reason::Broken, effects),
             Input::MachineLost { machine } => self.machine_lost(now, machine, effects),
             Input::Tick => self.tick(now, effects),
@@ -825,7 +831,7 @@
                 let standing = self.jobs.iter().filter(|(_, j)| held(j)).map(|(&job, _)| job).collect();
                 let address = notice.address.clone();
                 effects.push(Effect::Connect { machine: id, address: address.clone() });
-                self.nodes.insert(id, Node { entry, address, standing, version: 0 });
+                self.nodes.insert(id, Node { entry, address, standing, refuses_since: None, version: 0 });
                 self.machine_changed(id, ChangeKind::Added, effects);
             }
             return None;
@@ -836,6 +842,9 @@
         if entry.standing == Standing::Gone {
             return None;
         }
+        if entry.standing == Standing::Ready {
+            node.refuses_since = None;
+        }
         if moved {
             effects.push(Effect::Connect { machine: id, address: notice.address.clone() });
         }
@@ -855,6 +864,17 @@
         }
     }
 
+    /// A process that is gone refuses connections, and so does one that drains. What stands at the latter goes on
+    /// until the list calls it gone, or until its end, untold, would come to its owner too late.
+    fn dial_refused(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
+        let drains = self.nodes.get_mut(&machine).filter(|n| n.entry.standing == Standing::Draining);
+        let since = drains.map(|node| *node.refuses_since.get_or_insert(now));
+        if since.is_some_and(|since| now < since + DRAIN_KEEPS_S) {
+            return self.break_trials(now, machine, false, Reason::Unknown, effects);
+        }
+        self.machine_lost(now, machine, effects);
+    }
+
     fn machine_lost(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
         self.lose(now, machine, f64::INFINITY, effects);
         self.break_trials(now, machine, false, Reason::Unknown, effects);
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -257,3 +257,21 @@
     assert!(bench.core.words().machines() < 100);
     assert_eq!(bench.core.words().machine("box-1000"), MachineId(1000));
 }
+
+/// Guards what stands at a machine that drains: it takes no new connection, such as that of a planner that has just
+/// come up, and is there all the same. One that is in service and refuses is gone.
+#[test]
+fn a_drain_that_refuses_connections_keeps_its_tasks() {
+    for standing in [Standing::Draining, Standing::Ready] {
+        let mut bench = Bench::new("repeatable");
+        let at = launched(&bench.submit(1, None)).expect("a launch");
+        bench.tell(Input::Sent { job: RequestId(1), attempt: 0 });
+        bench.bound(at, 1);
+        bench.list(&[(at.0, standing)]);
+        let lost = Effect::Released { owner: Owner::Link(1), job: RequestId(1), outcome: Outcome::Lost };
+        let kept = standing == Standing::Draining;
+        assert_eq!(bench.tell(Input::DialRefused { machine: at }).contains(&lost), !kept);
+        bench.now += 5.0;
+        assert_eq!(bench.tell(Input::DialRefused { machine: at }).contains(&lost), kept);
+    }
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -94,6 +94,8 @@
     Probed { machine: MachineId, outcome: Outcome, report: Option<Report> },
     /// No connection to the machine came up: what waits to be sent never ran.
     DialFailed { machine: MachineId },
+    /// The machine refuses connections: its process is gone, or it drains and takes no new ones.
+    DialRefused { machine: MachineId },
     /// A connection to the machine broke: what was sent on it may have run.
     LinkBroken { machine: MachineId },
     /// The machine or its process is gone with all it held.
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -112,9 +112,8 @@
                     }
                 }
                 Dialled::Refused => {
-                    // Its process is gone, and with it what stood there.
                     silent = 0;
-                    self.tell(Input::MachineLost { machine });
+                    self.tell(Input::DialRefused { machine });
                 }
                 Dialled::Silent => {
                     silent += 1;
