Bar no machine for an ask that ends in errors at every machine that it met

Nothing in such an ask tells it apart before (class, figures, key and description are in order), so it cannot be refused at the door.

--- a/src/records.rs
+++ b/src/records.rs
@@ -122,11 +122,13 @@
     pub start: f64,
     /// Its outcome does not prove that it never ran.
     pub may_have_run: bool,
+    /// It ended in an error.
+    pub erred: bool,
 }
 
 impl Attempt {
     pub fn new(machine: MachineId, sent: Seconds, start: f64) -> Self {
-        Attempt { machine, sent, start, out: true, bound: false, may_have_run: true }
+        Attempt { machine, sent, start, out: true, bound: false, may_have_run: true, erred: false }
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -32,6 +32,8 @@
 const BAR_FIRST: (Seconds, f64) = (0.4, 2.0);
 /// Seconds and own tasks. Longest bar, so that a machine that came back is found soon.
 const BAR_MOST: (Seconds, f64) = (3.0, 15.0);
+/// Count. Other machines at which an ask must have ended in errors before it counts as at fault itself.
+const ERRS_ELSEWHERE: usize = 3;
 /// Seconds. Longest gap between own tasks that lengthens bars: a placer that rests must not bar for good.
 const BAR_GAP_S: Seconds = 2.5;
 /// Count. Own offers that may wait at one machine: it looks at them one by one and its line is short.
@@ -568,8 +570,16 @@
         let Some(tried) = request.attempts.get_mut(end.attempt).filter(|a| a.out) else { return };
         tried.out = false;
         tried.may_have_run = !end.outcome.never_ran();
+        tried.erred = end.outcome == Outcome::Error;
+        let erred = tried.erred;
         let (task, at, bound) = (request.task, tried.machine, tried.bound);
         let (ran_s, start) = (now - tried.sent, tried.start);
+        let elsewhere: Vec<MachineId> = request
+            .attempts
+            .iter()
+            .filter(|a| erred && a.erred && a.machine != at)
+            .map(|a| a.machine)
+            .collect();
         let count = self.out.entry((task.service, at)).or_insert(1);
         *count = count.saturating_sub(1);
         let last = *count == 0;
@@ -596,7 +606,17 @@
                 machine.unrecord(end.request);
             }
         }
-        judge(machine, now, gap, end, &task, bound);
+        // Guards machines against asks that none can serve: what ends in errors at one machine after another
+        // is at fault itself, and bars none of them.
+        if elsewhere.len() < ERRS_ELSEWHERE {
+            judge(machine, now, gap, end, &task, bound);
+        } else {
+            for id in elsewhere {
+                if let Some(machine) = self.machines.get_mut(&id) {
+                    machine.faults.retain(|&class, fault| class != task.class || fault.failures > 1);
+                }
+            }
+        }
         self.report(now, at, end.report);
     }
 
@@ -744,7 +764,10 @@
         let average = loads / f64::from(count.max(1));
         for (&id, machine) in &self.machines {
             if self.may_take(now, request, id, machine) {
-                sums.push(self.sum(now, &request.task, id, machine, average));
+                let mut sum = self.sum(now, &request.task, id, machine, average);
+                let erred = request.attempts.iter().any(|a| a.erred && a.machine == id);
+                sum.sum += DOUBT_LOAD * f64::from(u8::from(erred));
+                sums.push(sum);
             }
         }
         let band = self.band(now, &mut sums);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -61,6 +61,23 @@
     assert_eq!(again, [1 - first], "the machine that refused is full for that shape");
 }
 
+/// Guards machines against an ask that none can serve: each in turn would be barred for it, and usual asks with it.
+#[test]
+fn an_ask_that_errs_everywhere_bars_no_machine() {
+    let fleet = [entry(0, 10.0), entry(1, 5.0), entry(2, 4.0), entry(3, 1.0)];
+    for errors in [1, 2, 4] {
+        let mut rig = Rig::new(settings(Effect::Repeatable), &fleet);
+        assert_eq!(binds(&rig.submit(2.0, 1, task(1, 7.0))), [0]);
+        for attempt in 0..errors {
+            rig.end(2.05, 1, attempt, Outcome::Error, Reason::Unknown);
+        }
+        rig.feed(2.06, Event::Withdrawn { request: RequestId(1) });
+        let barred = errors < 4;
+        let next = binds(&rig.submit(2.1, 2, task(2, 7.0)));
+        assert_eq!(next == [0], !barred, "after {errors} errors: {next:?}");
+    }
+}
+
 #[test]
 fn once_is_only_failed_after_it_might_have_run() {
     let mut rig = Rig::new(settings(Effect::Once), &two());
