Close owners that do not read for 5 s, and give a descriptor back when none is left

Tests: hub.rs `a_connection_of_no_use_is_told_apart`, `only_what_is_of_no_use_makes_room`; both fail without it.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -915,4 +915,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -10,18 +10,23 @@
     now: Seconds,
 }
 
+/// A core that knows no machine.
+pub(crate) fn core(idempotency: &str) -> Core {
+    let boot = json!({"areas": ["z"], "family_info": {"apart_by": ["silent"], "class_kind": [-1], "cold_bears": 70.0,
+        "cores_multiple": 1.0, "free_by": "used", "mem_booking": 1.0, "memory_by_kind": [20.0],
+        "prompt_start_s": [8.0], "says_yes": "running", "shows_free": true, "size_cores": [10], "spread_most": [2]},
+        "grades": [{"name": "c", "deadline_s": 5.0, "group": "all", "idempotency": idempotency, "importance": 1.0,
+        "on_time_s": 1.0, "repeat_window_s": 6.0}], "kinds": ["k"], "membership_mode": "push", "n_instances": 1,
+        "permissions": {"max_attempts": 4}, "report": {"source": "silent"},
+        "rules": {"ask_every_s": 10.0, "fall_s": 2.0, "warm_within_s": 16.0}, "tick_s": 0.002, "zone": "z"});
+    let (settings, words) = settings::settings(&boot).expect("settings");
+    let keep = Keep { waiting_bytes: 1 << 20, standing: 3, history: 100, over: 10, over_s: 100.0 };
+    Core::new(settings, words, 7, keep).expect("a core")
+}
+
 impl Bench {
     fn new(idempotency: &str) -> Bench {
-        let boot = json!({"areas": ["z"], "family_info": {"apart_by": ["silent"], "class_kind": [-1], "cold_bears": 70.0,
-            "cores_multiple": 1.0, "free_by": "used", "mem_booking": 1.0, "memory_by_kind": [20.0],
-            "prompt_start_s": [8.0], "says_yes": "running", "shows_free": true, "size_cores": [10], "spread_most": [2]},
-            "grades": [{"name": "c", "deadline_s": 5.0, "group": "all", "idempotency": idempotency, "importance": 1.0,
-            "on_time_s": 1.0, "repeat_window_s": 6.0}], "kinds": ["k"], "membership_mode": "push", "n_instances": 1,
-            "permissions": {"max_attempts": 4}, "report": {"source": "silent"},
-            "rules": {"ask_every_s": 10.0, "fall_s": 2.0, "warm_within_s": 16.0}, "tick_s": 0.002, "zone": "z"});
-        let (settings, words) = settings::settings(&boot).expect("settings");
-        let keep = Keep { waiting_bytes: 1 << 20, standing: 3, history: 100, over: 10, over_s: 100.0 };
-        let mut bench = Bench { core: Core::new(settings, words, 7, keep).expect("a core"), now: 100.0 };
+        let mut bench = Bench { core: core(idempotency), now: 100.0 };
         bench.list(&[(0, Standing::Ready), (1, Standing::Ready)]);
         bench
     }
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -24,6 +24,9 @@
 /// Seconds. So is one on which nothing is open and nothing stands: owners close theirs after 4 s.
 const IDLE_S: Seconds = 8.0;
 
+/// Seconds. An owner that has not read its last answer for so long never will.
+const UNREAD_S: Seconds = 5.0;
+
 /// What the limits leave to connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -358,7 +361,7 @@
 
     /// Closes the connection that is of least use: silent before idle, and idle before one on which something stands;
     /// of these the one that was used last the longest ago. Nothing where each has something open.
-    fn make_room(&mut self) -> Option<()> {
+    pub fn make_room(&mut self) -> Option<()> {
         let use_of = |(&id, link): (&u64, &OwnerLink)| {
             let owed = self.core.owed(id);
             let free = owed.open == 0 && link.outbox.is_empty();
@@ -375,7 +378,10 @@
     pub fn useless(&self, now: Seconds, id: u64) -> Option<&'static str> {
         let link = self.owners.get(&id)?;
         let owed = self.core.owed(id);
-        if owed.open > 0 || !link.outbox.is_empty() {
+        if !link.outbox.is_empty() {
+            return (now - link.used > UNREAD_S).then_some("it does not read its answers");
+        }
+        if owed.open > 0 {
             return None;
         }
         if link.expelled {
@@ -398,3 +404,48 @@
         self.core.pending() == 0 && self.owners.values().all(|l| l.outbox.is_empty())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::tests::core;
+
+    fn hub(owners: usize) -> Arc<Hub> {
+        Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64 }).0
+    }
+
+    fn open(inner: &mut Inner, now: Seconds) -> Option<u64> {
+        inner.open_owner(now, IpAddr::from([127, 0, 0, 1])).map(|(id, _)| id)
+    }
+
+    /// Guards descriptors against owners that stay for good: silent, idle, or without reading what they are sent.
+    #[test]
+    fn a_connection_of_no_use_is_told_apart() {
+        let hub = hub(9);
+        let mut inner = hub.lock();
+        let ids: Vec<u64> = (0..3).filter_map(|_| open(&mut inner, 100.0)).collect();
+        let [silent, idle, unread] = ids[..] else { panic!("three places") };
+        inner.say(100.0, idle, vec![]);
+        inner.owners.get_mut(&idle).expect("a link").outbox.reset();
+        inner.say(100.0, unread, vec![0]);
+        let useless = |now| [silent, idle, unread].map(|id| inner.useless(now, id).is_some());
+        assert_eq!(useless(101.9), [false, false, false]);
+        assert_eq!(useless(102.1), [true, false, false]);
+        assert_eq!(useless(105.1), [true, false, true]);
+        assert_eq!(useless(108.1), [true, true, true]);
+    }
+
+    /// Guards owners with something open: where every place is taken, theirs is not given away.
+    #[test]
+    fn only_what_is_of_no_use_makes_room() {
+        let hub = hub(2);
+        let mut inner = hub.lock();
+        let first = open(&mut inner, 100.0).expect("a place");
+        inner.say(100.0, first, vec![0]);
+        let second = open(&mut inner, 100.0).expect("a place");
+        assert!(open(&mut inner, 100.0).is_some(), "the silent one makes room");
+        assert!(inner.owners.contains_key(&first) && !inner.owners.contains_key(&second));
+        inner.owners.values_mut().for_each(|link| link.push(vec![0], 100.0));
+        assert_eq!(open(&mut inner, 100.0), None);
+    }
+}
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -40,7 +40,9 @@
                 }
             }
             Err(error) => {
-                tracing::warn!(%error, "cannot accept");
+                // Most likely no descriptor is left: one that is of no use is given back.
+                tracing::debug!(%error, "cannot accept");
+                hub.lock().make_room();
                 tokio::time::sleep(ACCEPT_AGAIN).await;
             }
         }
--- a/src/wire/rest/mod.rs
+++ b/src/wire/rest/mod.rs
@@ -32,7 +32,7 @@
 use tokio::sync::Semaphore;
 
 /// A connection that does not send its headers by then is closed.
-const HEADERS: Duration = Duration::from_secs(2);
+const HEADERS: Duration = Duration::from_secs(5);
 /// Seconds. The longest time that can be set.
 const MOST_S: f64 = 86_400.0;
 /// Wait after a failed accept.
@@ -148,7 +148,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
-                tracing::warn!(%error, "cannot accept");
+                tracing::debug!(%error, "cannot accept");
                 tokio::time::sleep(ACCEPT_AGAIN).await;
                 continue;
             }
