Test a box link that brings nothing, and take a reset before a refusal for a dead box

Ruled out: a spoilt or passed-over line (the raw lines about that task are its `running` alone), the owner's side, and the list (gone at 22.6 s). Cause: boxes.rs took the refused silence dial of a draining box for a sign of life and wrote nothing on the link; state/mod.rs `dial_refused` then waited 5 s more. Now a link that holds tasks and brings nothing for 1.5 s is tested, and closed after 1.5 s more; a reset and then a refusal is a process that died; a draining box that only refuses keeps its tasks for 3 s.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -29,7 +29,7 @@
 const UNLISTED_S: Seconds = 2.5;
 /// Seconds. So long a machine that drains and refuses connections is taken to hold what stands there. An end of
 /// which no word came is to be told within 8 s.
-const DRAIN_KEEPS_S: Seconds = 5.0;
+const DRAIN_KEEPS_S: Seconds = 3.0;
 /// Count. Names kept of machines that are no more, before they are gone through.
 const OLD_NAMES: usize = 64;
 /// Seconds. A refusal so close to the deadline is told as the deadline's.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -290,6 +290,14 @@
         let _ = self.connects.send((machine, life));
     }
 
+    /// Asks a box for a sign of life on its connection; the module is not told of the answer.
+    pub fn ask_node(&mut self, machine: MachineId) {
+        let Some(link) = self.nodes.get_mut(&machine) else { return };
+        link.probes += 1;
+        let line = node::check(link.probes);
+        self.write_node(machine, line, Tag::Plain);
+    }
+
     fn write_node(&mut self, machine: MachineId, bytes: Vec<u8>, tag: Tag) {
         let Some(link) = self.nodes.get_mut(&machine) else { return };
         if !link.outbox.push(bytes, tag) {
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -19,6 +19,9 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// A box that holds tasks and says nothing for so long is dialled, to see whether it is there at all.
 const SILENCE: Duration = Duration::from_millis(1000);
+/// A box that holds tasks and sends nothing for so long is asked on its connection, and has as long again to answer:
+/// one that stays open but brings nothing any more would hide the ends of all that stands there.
+const MUTE: Duration = Duration::from_millis(1500);
 /// Count. Dials in a row that must come to nothing before a silent box is taken to be lost.
 const LOST_DIALS: u32 = 3;
 /// A probe that is not answered by then has failed.
@@ -85,7 +88,7 @@
 
     async fn hold(self) {
         let machine = self.machine;
-        let (mut wait, mut silent) = (AGAIN.0, 0);
+        let (mut wait, mut silent, mut reset) = (AGAIN.0, 0, false);
         while let Some((address, wake)) = self.address() {
             match self.dial(&address).await {
                 Dialled::Up(stream) => {
@@ -93,6 +96,7 @@
                     silent = 0;
                     let _ = stream.set_nodelay(true);
                     let end = self.talk(&stream, &address, &wake).await;
+                    reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
                     if self.address().is_none() {
                         return; // It left the list; should it be back already, that is another's to tell of.
                     }
@@ -113,7 +117,12 @@
                 }
                 Dialled::Refused => {
                     silent = 0;
-                    self.tell(Input::DialRefused { machine });
+                    // A reset before it tells a process that died from one that drains and takes nobody new.
+                    self.tell(if reset {
+                        Input::MachineLost { machine }
+                    } else {
+                        Input::DialRefused { machine }
+                    });
                 }
                 Dialled::Silent => {
                     silent += 1;
@@ -138,6 +147,7 @@
         let mut buffer = BytesMut::with_capacity(READ_BYTES);
         let mut heard = Instant::now();
         let mut silent_dials = 0;
+        let (mut spoke, mut asked) = (Instant::now(), None::<Instant>);
         let mut left = Vec::new();
         let mut looks = tokio::time::interval(LOOK);
         looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -174,6 +184,17 @@
                     if probing {
                         self.fail_probe(Outcome::TimedOut);
                     }
+                    match asked {
+                        Some(at) if at.elapsed() > MUTE => {
+                            return Err(io::Error::new(io::ErrorKind::TimedOut, "it brings nothing any more"));
+                        }
+                        None if spoke.elapsed() > MUTE && held > 0 => {
+                            self.hub.lock().ask_node(self.machine);
+                            asked = Some(Instant::now());
+                            continue;
+                        }
+                        _ => {}
+                    }
                     if heard.elapsed() > SILENCE && held > 0 {
                         // A box that hangs still takes connections; one that vanished does not.
                         match self.dial(address).await {
@@ -193,6 +214,7 @@
                             Ok(0) => return Ok(()),
                             Ok(_) => {
                                 (heard, silent_dials) = (Instant::now(), 0);
+                                (spoke, asked) = (heard, None);
                                 self.hear(&mut buffer)?;
                             }
                             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
