Make room for growth: placer, decide, and the reducer split by what it keeps

Change: the decision module moves to src/placer/ with its history (Sum and Change, plain records, to records.rs); the settings' vocabulary moves below state, so that imports run life > wire > state > decide > placer; the reducer splits into jobs, attempts, machines, alarms and views behind the same Core::apply. src/decide/ begins. No behaviour changes.

--- a/src/bin/burlhook-adapter/main.rs
+++ b/src/bin/burlhook-adapter/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use burlhook::life::settings::{self, Vocabulary};
+use burlhook::vocabulary::{self, Vocabulary};
 use burlhook::{Action, End, Event, ListKind, MachineId, Placer, RequestId};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
@@ -76,7 +76,7 @@
             }
             Arrival::OpenInstance { who, nonce64, boot_info } => {
                 let (settings, words) =
-                    settings::settings(&boot_info).map_err(|e| format!("boot_info: {e}"))?;
+                    vocabulary::settings(&boot_info).map_err(|e| format!("boot_info: {e}"))?;
                 let placer = Placer::new(settings, nonce64).map_err(|e| format!("boot_info: {e}"))?;
                 self.instances.insert(who, Instance { placer, words });
                 return Ok(());
--- a/src/bin/burlhook-adapter/wire.rs
+++ b/src/bin/burlhook-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's words and their translation; no decisions.
 
-use burlhook::life::settings::{key, Vocabulary};
+use burlhook::vocabulary::{key, Vocabulary};
 use burlhook::*;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,12 +68,11 @@
 //! ```
 #![deny(missing_docs)]
 
-mod interface;
+mod decide;
 pub mod life;
-mod records;
-mod rules;
+mod placer;
 mod state;
+pub mod vocabulary;
 mod wire;
 
-pub use interface::*;
-pub use rules::Placer;
+pub use placer::*;
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -2,10 +2,10 @@
 
 pub mod cli;
 mod config;
-pub mod settings;
 
-use crate::interface::{ListKind, Seconds};
+use crate::placer::{ListKind, Seconds};
 use crate::state::{Core, Keep};
+use crate::vocabulary;
 use crate::wire::hub::{seconds, Hub};
 use crate::wire::platform::Source;
 use crate::wire::{platform, rest};
@@ -105,7 +105,7 @@
 
 /// A core with the settings that the configuration holds.
 fn core_of(config: &Config) -> Result<Core, ConfigError> {
-    let (settings, words) = settings::settings(&config.settings).map_err(ConfigError::Settings)?;
+    let (settings, words) = vocabulary::settings(&config.settings).map_err(ConfigError::Settings)?;
     // Where nobody can look, nothing is kept for looking at.
     let (waiting_bytes, standing) = config.limits.jobs();
     let nothing = Keep { waiting_bytes, standing, history: 0, over: 0, over_s: 0.0 };
--- a/src/records.rs
+++ b/src/placer/records.rs
@@ -1,7 +1,7 @@
 //! Records and plain measures that the decision module keeps: asks, attempts, means, rates, figures with an
 //! age. No decision and no tuned value: weights and spans are the caller's.
 
-use crate::interface::{MachineId, Seconds, Task};
+use super::interface::{MachineId, RequestId, Room, Seconds, Task};
 use siphasher::sip::SipHasher13;
 use std::hash::{Hash, Hasher};
 
@@ -146,3 +146,19 @@
         Request { task, state, attempts: vec![], asked_at: now, not_before: now }
     }
 }
+
+/// A machine that may take the task: its sum, the task's increment there, and its place in the order.
+pub(crate) struct Sum {
+    pub machine: MachineId,
+    pub sum: f64,
+    pub increment: f64,
+    pub order: f64,
+}
+
+/// An own bind (positive) or end (negative).
+#[derive(Clone, Copy)]
+pub(crate) struct Change {
+    pub at: Seconds,
+    pub request: RequestId,
+    pub room: Room,
+}
--- a/src/rules.rs
+++ b/src/placer/rules.rs
@@ -5,8 +5,8 @@
 //! `close_due` (1), `effect_allows` and `refusable` (2), `Machine::ready` (3), `cold_room` (4),
 //! `spread_allows` (5). Same events, same actions: ordered maps, one seeded generator, no clock.
 
-use crate::interface::*;
-use crate::records::*;
+use super::interface::*;
+use super::records::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -90,22 +90,6 @@
 /// Room or seconds below which two figures are the same: sizes and clocks are rounded.
 const EPSILON: f64 = 1e-5;
 
-/// A machine that may take the task: its sum, the task's increment there, and its place in the order.
-struct Sum {
-    machine: MachineId,
-    sum: f64,
-    increment: f64,
-    order: f64,
-}
-
-/// An own bind (positive) or end (negative).
-#[derive(Clone, Copy)]
-struct Change {
-    at: Seconds,
-    request: RequestId,
-    room: Room,
-}
-
 /// Bars a machine for longer with each failure in a row; those that come in one bar count as one.
 #[derive(Default)]
 struct Bar {
--- /dev/null
+++ b/src/state/alarms.rs
@@ -0,0 +1,65 @@
+//! The alarms: what is due when.
+
+use super::*;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Alarm {
+    Placer,
+    GiveUp(RequestId, AttemptNo),
+    Answer(RequestId),
+    Unlisted(RequestId),
+    Forget(RequestId),
+}
+
+fn micros(at: Seconds) -> u64 {
+    (at.max(0.0) * 1e6).ceil() as u64
+}
+
+impl Core {
+    /// When [`Input::Tick`] is wanted next.
+    pub fn next_alarm(&self) -> Option<Seconds> {
+        self.alarms.peek().map(|Reverse((at, _))| *at as f64 / 1e6)
+    }
+
+    pub(super) fn alarm(&mut self, at: Seconds, alarm: Alarm) {
+        self.alarms.push(Reverse((micros(at), alarm)));
+    }
+
+    pub(super) fn tick(&mut self, now: Seconds, effects: &mut Vec<Effect>) {
+        let until = (now * 1e6) as u64;
+        let mut placer = false;
+        while self.alarms.peek().is_some_and(|Reverse((at, _))| *at <= until) {
+            let Some(Reverse((_, alarm))) = self.alarms.pop() else { break };
+            match alarm {
+                Alarm::Placer => placer = true,
+                Alarm::GiveUp(job, attempt) => {
+                    let trial = self.jobs.get(&job).and_then(|j| j.trial);
+                    if let Some(trial) = trial.filter(|t| t.attempt == attempt) {
+                        // What never left the queue never ran, and must not leave it later.
+                        effects.push(Effect::GiveUp { machine: trial.machine, job });
+                        let outcome = if trial.left { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                        self.trial_over(now, job, outcome, Reason::Unknown, None, effects);
+                    }
+                }
+                Alarm::Answer(job) => {
+                    // Guards rule 1, should the module have let a job pass its deadline.
+                    if self.jobs.get(&job).is_some_and(|j| j.phase == Phase::Pending) {
+                        effects.push(Effect::Log(format!("job {:016x} was answered by its guard", job.0)));
+                        self.take_back(now, job, true, effects);
+                    }
+                }
+                Alarm::Unlisted(job) => {
+                    let machine =
+                        self.jobs.get(&job).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
+                    if machine.is_some_and(|machine| !self.nodes.contains_key(&machine)) {
+                        self.standing_over(now, job, Outcome::Lost, Reason::Unknown, None, effects);
+                    }
+                }
+                Alarm::Forget(job) => self.forget(job, effects),
+            }
+        }
+        if placer {
+            self.feed(now, Event::Timer, effects);
+        }
+    }
+}
--- a/src/state/history.rs
+++ b/src/state/history.rs
@@ -72,7 +72,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::interface::{CellId, Room, Standing};
+    use crate::placer::{CellId, Room, Standing};
     use crate::state::MachineView;
     use std::sync::Arc;
 
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -1,7 +1,9 @@
 //! The guards of the reducer, each at its edge, on a clock of the test's own.
 
+use super::jobs::{JOB_BYTES, MOST_ON_LINK};
+use super::machines::CUT;
 use super::*;
-use crate::life::settings;
+use crate::vocabulary;
 use serde_json::json;
 
 /// A core with machines 0 and 1, and what it asked for last.
@@ -19,7 +21,7 @@
         "on_time_s": 1.0, "repeat_window_s": 6.0}], "kinds": ["k"], "membership_mode": "push", "n_instances": 1,
         "permissions": {"max_attempts": 4}, "report": {"source": "silent"},
         "rules": {"ask_every_s": 10.0, "fall_s": 2.0, "warm_within_s": 16.0}, "tick_s": 0.002, "zone": "z"});
-    let (settings, words) = settings::settings(&boot).expect("settings");
+    let (settings, words) = vocabulary::settings(&boot).expect("settings");
     let keep = Keep { waiting_bytes: 1 << 20, standing: 3, history: 100, over: 10, over_s: 100.0 };
     Core::new(settings, words, 7, keep).expect("a core")
 }
--- a/src/state/views.rs
+++ b/src/state/views.rs
@@ -1,8 +1,6 @@
 //! Jobs and machines as they can be looked at from outside.
 
-use super::{Phase, Spec};
-use crate::interface::*;
-use std::sync::Arc;
+use super::*;
 
 /// A job at one version.
 #[derive(Clone, Debug)]
@@ -37,3 +35,49 @@
     Job(Arc<JobView>),
     Machine(Arc<MachineView>),
 }
+
+impl Core {
+    /// One job, as it can be looked at.
+    pub fn job_view_of(&self, id: RequestId) -> Option<JobView> {
+        self.jobs.get(&id).map(|job| self.job_view(id, job))
+    }
+
+    /// Every job, as it can be looked at, the one that changed last at the end.
+    pub fn job_views(&self) -> Vec<JobView> {
+        let mut views: Vec<JobView> = self.jobs.iter().map(|(&id, job)| self.job_view(id, job)).collect();
+        views.sort_by_key(|view| view.version);
+        views
+    }
+
+    /// Every machine, as it can be looked at.
+    pub fn machine_views(&self) -> Vec<MachineView> {
+        self.nodes.iter().map(|(&id, node)| self.machine_view(id, node)).collect()
+    }
+
+    pub(super) fn job_view(&self, id: RequestId, job: &Job) -> JobView {
+        JobView {
+            id,
+            spec: job.spec.clone(),
+            room: job.task.room,
+            phase: job.phase,
+            machine: job.machine.map(|m| self.words.name(m)),
+            attempts: job.attempts,
+            deadline: job.task.deadline,
+            last: job.last,
+            retry_in_s: job.retry_in_s,
+            version: job.version,
+        }
+    }
+
+    pub(super) fn machine_view(&self, id: MachineId, node: &Node) -> MachineView {
+        MachineView {
+            name: self.words.name(id),
+            zone: self.words.zone_name(node.entry.zone),
+            cell: node.entry.cell,
+            standing: node.entry.standing,
+            free: node.entry.free,
+            started: node.entry.started,
+            version: node.version,
+        }
+    }
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -1,6 +1,6 @@
 //! The words between the core and the world: what happens, what is to be done, and how jobs stand.
 
-use crate::interface::{
+use crate::placer::{
     AttemptNo, Entry, ListKind, MachineId, Note, Outcome, Reason, Report, RequestId, Seconds, Task,
 };
 use std::sync::Arc;
--- a/src/life/settings.rs
+++ b/src/vocabulary.rs
@@ -1,7 +1,7 @@
 //! The settings object, as the simulator's first message and the configuration carry it, and its names.
 //! `run` and `sim` share this translation; nothing here decides anything.
 
-use crate::interface::*;
+use crate::placer::*;
 use serde::Deserialize;
 use serde_json::Value;
 use siphasher::sip::SipHasher13;
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -4,7 +4,7 @@
 use super::outbox::{Outbox, Tag};
 use super::platform::node::{self, cause};
 use super::platform::owner;
-use crate::interface::*;
+use crate::placer::*;
 use crate::state::{Core, Effect, Input, Owner, Refusal};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::IpAddr;
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -3,7 +3,7 @@
 //! Messages stay here whole until the socket takes them, so that a set-up which was given up can be taken
 //! back; only the one whose first byte has left must be completed.
 
-use crate::interface::{AttemptNo, RequestId};
+use crate::placer::{AttemptNo, RequestId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use tokio::net::TcpStream;
--- a/src/wire/platform/board.rs
+++ b/src/wire/platform/board.rs
@@ -1,8 +1,8 @@
 //! The notice board's events as pure functions on bytes.
 
-use crate::interface::*;
-use crate::life::settings::{key, Vocabulary};
+use crate::placer::*;
 use crate::state::Notice;
+use crate::vocabulary::{key, Vocabulary};
 use serde::Deserialize;
 
 /// Bytes that a line of the board may hold: it may carry the whole list.
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -1,7 +1,7 @@
 //! One long-lived connection to each box, and the watch over boxes that fall silent.
 
 use super::node::{self, take_line, Says};
-use crate::interface::*;
+use crate::placer::*;
 use crate::state::Input;
 use crate::wire::hub::Hub;
 use bytes::{Buf, BytesMut};
--- a/src/wire/platform/lists.rs
+++ b/src/wire/platform/lists.rs
@@ -2,7 +2,7 @@
 
 use super::board::{self, Event, Known, Line};
 use super::node::take_line;
-use crate::interface::ListKind;
+use crate::placer::ListKind;
 use crate::state::Input;
 use crate::wire::hub::Hub;
 use bytes::{Buf, BytesMut};
--- a/src/wire/platform/node.rs
+++ b/src/wire/platform/node.rs
@@ -1,6 +1,6 @@
 //! The boxes' JSON lines as pure functions on bytes.
 
-use crate::interface::*;
+use crate::placer::*;
 use crate::state::Spec;
 use serde::Deserialize;
 use serde_json::{json, Map, Value};
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -2,7 +2,7 @@
 
 use super::node::{self, cause};
 use super::owner::{self, kind, Malformed, Message, SetUp};
-use crate::interface::*;
+use crate::placer::*;
 use crate::state::{Ask, Input, Owner, Spec};
 use crate::wire::hub::{Hub, Inner};
 use bytes::{Buf, BytesMut};
--- a/src/wire/rest/jobs.rs
+++ b/src/wire/rest/jobs.rs
@@ -4,7 +4,7 @@
 use super::fleet::Way;
 use super::objects::{self, NewJob};
 use super::Front;
-use crate::interface::*;
+use crate::placer::*;
 use crate::state::{Ask, Input, JobView, Owner, Phase, Spec};
 use crate::wire::platform::node;
 use axum::body::Body;
--- a/src/wire/rest/objects.rs
+++ b/src/wire/rest/objects.rs
@@ -1,7 +1,7 @@
 //! Jobs and machines as JSON.
 
 use super::Front;
-use crate::interface::*;
+use crate::placer::*;
 use crate::state::{JobView, MachineView, Phase};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
