--- a/src/bin/burlhook-adapter/main.rs
+++ b/src/bin/burlhook-adapter/main.rs
@@ -131,6 +131,7 @@
             outcome: wire::outcome(code)?,
             reason: wire::reason(info),
             finished,
+            last: false,
             report: feedback.map(|values| words.report(&values)),
         }),
         Arrival::Signal { call, hop, what, amount, .. } => match wire::note(what, amount) {
--- a/src/bin/burlhook-adapter/wire.rs
+++ b/src/bin/burlhook-adapter/wire.rs
@@ -181,6 +181,7 @@
         room: Room { cores: asked.cpu, memory: asked.ram_units },
         deadline: asked.expires_s,
         life_s: asked.life_s,
+        limits: burlhook::TaskLimits::default(),
     })
 }
 
--- /dev/null
+++ b/src/decide/limits/explain.rs
@@ -0,0 +1,173 @@
+//! The file in words: the limits of a job and where each comes from, and what another file would change.
+
+use super::gauges::{Budget, Rate};
+use super::model::{Figures, Model, Route};
+use super::table::{Chain, Origin, Subject, Table};
+use crate::placer::{Effect, Seconds, Settings};
+use std::collections::BTreeMap;
+
+/// One figure of a job's limits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Its name in the file.
+    pub name: &'static str,
+    /// Its value in the words of the file.
+    pub value: String,
+    /// Where it comes from.
+    pub from: String,
+}
+
+/// Milliseconds in words.
+fn ms(seconds: Seconds) -> String {
+    format!("{}", (seconds * 1e6).round() / 1e3)
+}
+
+/// The figures of one place in the words of the file, by name.
+pub fn words(figures: &Figures) -> BTreeMap<&'static str, String> {
+    let mut all = BTreeMap::new();
+    let mut add = |name: &'static str, value: Option<String>| {
+        if let Some(value) = value {
+            all.insert(name, value);
+        }
+    };
+    add("attempts", figures.attempts.map(|n| n.to_string()));
+    add("attemptMs", figures.attempt_s.map(ms));
+    add("totalMs", figures.total_s.map(ms));
+    add("repeatWindowMs", figures.window_s.map(ms));
+    add("pauseMs", figures.pause_s.map(|(least, most)| format!("[{}, {}]", ms(least), ms(most))));
+    add("secondCopy", figures.second_copy.map(|copy| format!("{:?}", copy.word())));
+    add("inFlight", figures.in_flight.map(|n| n.to_string()));
+    add("ratePerS", figures.rate.map(|Rate { per_s, .. }| per_s.to_string()));
+    add("burst", figures.rate.map(|Rate { burst, .. }| burst.to_string()));
+    add("retryBudget", figures.budget.map(|Budget { share, .. }| share.to_string()));
+    add("retryFloor", figures.budget.map(|Budget { floor, .. }| floor.to_string()));
+    all
+}
+
+const NAMES: [&str; 11] = [
+    "attempts",
+    "attemptMs",
+    "totalMs",
+    "repeatWindowMs",
+    "pauseMs",
+    "secondCopy",
+    "inFlight",
+    "ratePerS",
+    "burst",
+    "retryBudget",
+    "retryFloor",
+];
+
+fn place(origin: Origin, model: &Model, classes: &[String]) -> String {
+    match origin {
+        Origin::Default => "default".into(),
+        Origin::Class(at) => format!("classes.{}", classes.get(at).map_or("", |c| c)),
+        Origin::Route(at) => format!("routes.{}", model.routes[at].name),
+    }
+}
+
+/// The route that a job takes, and each of its limits with the place that it comes from.
+pub fn explain(
+    table: &Table,
+    subject: &Subject<'_>,
+    settings: &Settings,
+    classes: &[String],
+) -> (Option<String>, Vec<Line>) {
+    let model = table.model();
+    let route = table.resolve(subject).and_then(|resolved| resolved.route);
+    let chain = Chain::new(model, subject.class, route);
+    let class = &settings.classes[subject.class];
+    let line = |name: &'static str| {
+        let found = chain.find(|figures| words(figures).remove(name));
+        let (value, from) = match found {
+            Some((origin, value)) => (value, place(origin, model, classes)),
+            None => {
+                let value = match (name, class.effect) {
+                    ("attempts", _) => settings.max_attempts.to_string(),
+                    ("totalMs", _) => "the owner's own".into(),
+                    ("repeatWindowMs", Effect::Keyed { window_s, .. }) => ms(window_s),
+                    ("secondCopy", Effect::Once) => "\"never\"".into(),
+                    ("secondCopy", _) => "\"after-give-up\"".into(),
+                    ("attemptMs" | "pauseMs", _) => "as the module has learnt".into(),
+                    _ => return None,
+                };
+                (value, "settings".into())
+            }
+        };
+        // What is inherited for a class that has no use for it.
+        let idle = name == "repeatWindowMs" && !matches!(class.effect, Effect::Keyed { .. });
+        let forbidden = name == "secondCopy" && class.effect == Effect::Once;
+        let value = if forbidden { "\"never\"".into() } else { value };
+        (!idle).then_some(Line { name, value, from })
+    };
+    (route.map(|at| model.routes[at].name.to_string()), NAMES.iter().copied().filter_map(line).collect())
+}
+
+/// A route's match in the words of the file, by name.
+pub fn matching(route: &Route, classes: &[String]) -> BTreeMap<&'static str, String> {
+    let own = &route.matching;
+    let span = |(least, most): (f64, f64)| format!("[{least}, {most}]");
+    let all = [
+        ("front", own.front.map(|front| front.word().to_string())),
+        ("class", own.class.and_then(|at| classes.get(at).cloned())),
+        ("service", Some(own.service.word()).filter(|word| word != "*")),
+        ("zone", own.zone.clone()),
+        ("cores", own.cores.map(span)),
+        ("memory", own.memory.map(span)),
+    ];
+    all.into_iter().filter_map(|(name, value)| Some((name, value?))).collect()
+}
+
+/// What changes from one file to another, a line each: places that come and go, figures, matches, and the order.
+pub fn diff(old: &Model, new: &Model, classes: &[String]) -> Vec<String> {
+    let places = |model: &Model| {
+        let mut all: Vec<(String, BTreeMap<&'static str, String>)> =
+            vec![("default".into(), words(&model.default))];
+        all.extend(classes.iter().zip(&model.classes).map(|(name, f)| (format!("classes.{name}"), words(f))));
+        all.extend(model.routes.iter().map(|route| {
+            let mut own = words(&route.figures);
+            own.extend(matching(route, classes));
+            (format!("routes.{}", route.name), own)
+        }));
+        all
+    };
+    let (before, after) = (places(old), places(new));
+    let find = |list: &[(String, BTreeMap<&'static str, String>)]| -> BTreeMap<String, BTreeMap<&'static str, String>> {
+        list.iter().cloned().collect()
+    };
+    let (old_by, new_by) = (find(&before), find(&after));
+    let mut lines = Vec::new();
+    for (name, own) in &before {
+        if !new_by.contains_key(name) {
+            lines.push(format!("- {name} {}", in_line(own)));
+        }
+    }
+    for (name, own) in &after {
+        let Some(was) = old_by.get(name) else {
+            lines.push(format!("+ {name} {}", in_line(own)));
+            continue;
+        };
+        let keys: std::collections::BTreeSet<_> = was.keys().chain(own.keys()).collect();
+        for key in keys {
+            let (a, b) = (was.get(key), own.get(key));
+            if a != b {
+                let word =
+                    |value: Option<&String>| value.map_or("(inherited)".to_string(), |v| v.to_string());
+                lines.push(format!("~ {name}.{key}: {} -> {}", word(a), word(b)));
+            }
+        }
+    }
+    let order = |list: &[Route], other: &BTreeMap<String, BTreeMap<&'static str, String>>| -> Vec<String> {
+        let names = list.iter().map(|r| format!("routes.{}", r.name));
+        names.filter(|name| other.contains_key(name)).collect()
+    };
+    if order(&old.routes, &new_by) != order(&new.routes, &old_by) {
+        lines.push("~ routes: those that stay come in another order, and the first that matches wins".into());
+    }
+    lines
+}
+
+fn in_line(all: &BTreeMap<&'static str, String>) -> String {
+    let parts: Vec<String> = all.iter().map(|(name, value)| format!("{name}: {value}")).collect();
+    format!("{{{}}}", parts.join(", "))
+}
--- /dev/null
+++ b/src/decide/limits/tests.rs
@@ -0,0 +1,343 @@
+//! The limits at their edges, on a clock of the tests' own, and against plain walks and counts.
+
+use super::*;
+use crate::document::{self, Faults, Item, Sink, Text};
+use crate::placer::{Class, Effect, Kind, Place, ReportSource, Room};
+use proptest::prelude::*;
+
+const KEYED: usize = 1;
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        effect,
+        deadline_s: 8.0,
+        on_time_s: 1.0,
+        late_share: 0.1,
+        importance: 1.0,
+        prompt_start_s: 8.0,
+        spread: None,
+        kind: None,
+    };
+    let keyed = Effect::Keyed { group: Place::All, window_s: 6.0 };
+    Settings {
+        classes: vec![class(Effect::Repeatable), class(keyed), class(Effect::Once)],
+        kinds: vec![Kind { size: Room { cores: 10.0, memory: 20.0 } }],
+        tenants: vec![],
+        zone: None,
+        placers: 1,
+        ask_for_list: false,
+        ask_every_s: 10.0,
+        list_shows_room: true,
+        cores_multiple: 1.0,
+        memory_multiple: 1.0,
+        confirms_running: false,
+        reports: ReportSource::Silent,
+        reports_used: false,
+        probes: true,
+        max_attempts: 4,
+        cold_bears: 10.0,
+        fall_s: 3.0,
+        warm_within_s: 18.0,
+        tick_s: 0.002,
+        over_share_worth: 0.1,
+        cross_zone_price: 0.0,
+    }
+}
+
+fn classes() -> Vec<String> {
+    ["stateless", "keyed", "once"].map(String::from).to_vec()
+}
+
+fn read_section(text: &str) -> Result<(Model, Vec<String>), Faults> {
+    let text = Text::new("f", text);
+    let root = document::parse(&text)?;
+    let (sink, settings) = (Sink::default(), settings());
+    let (classes, zones) = (classes(), vec!["hall-a".to_string(), "hall-b".to_string()]);
+    let context = Context { settings: &settings, classes: &classes, zones: &zones };
+    let read = super::read(&Item::root(&root, &sink), context);
+    match sink.count() {
+        0 => Ok(read),
+        _ => Err(Faults::new(&text, sink.take())),
+    }
+}
+
+fn table(text: &str) -> Arc<Table> {
+    let (model, _) = read_section(text).expect("a good section");
+    Arc::new(Table::new(model, &settings(), Some("hall-a")))
+}
+
+fn limits(text: &str) -> Limits {
+    let mut limits = Limits::new(&settings(), classes());
+    limits.swap(table(text));
+    limits
+}
+
+fn subject(class: usize, service: &str) -> Subject<'_> {
+    Subject { front: Front::Rest, class, service, room: Room { cores: 1.0, memory: 1.0 } }
+}
+
+fn told(text: &str) -> Vec<String> {
+    read_section(text).expect("no fault").1
+}
+
+/// Guards an operator who gives up nothing by naming a route: what it does not say comes from its class and the default.
+#[test]
+fn a_route_inherits() {
+    let table = table(
+        "{default: {attempts: 3, totalMs: 7000}, classes: {keyed: {attemptMs: 1000}}, routes: [\
+         {name: 'a', match: {class: 'keyed', service: 'notices-*'}, attempts: 2, pauseMs: [50, 150]}]}",
+    );
+    let of = |class, service| table.resolve(&subject(class, service)).expect("limits").clone();
+    let (route, class) = (of(KEYED, "notices-7"), of(KEYED, "other"));
+    assert_eq!((route.route, class.route), (Some(0), None));
+    assert_eq!((route.task.attempts, class.task.attempts, of(0, "notices-7").task.attempts), (2, 3, 3));
+    assert_eq!((route.task.attempt_s, route.total_s, class.task.pause_s), (1.0, 7.0, None));
+    assert_eq!(route.task.pause_s.map(|(mean, _)| mean), Some(0.1));
+    assert_eq!((route.task.window_s, of(0, "x").task.window_s), (6.0, f64::INFINITY));
+    assert!(!of(2, "x").task.copies, "a class that must run once has no second copy, whatever it inherits");
+}
+
+/// Guards halls that share one file: a route for the other hall is not taken here.
+#[test]
+fn routes_of_another_zone_never_match() {
+    let table = table(
+        "{routes: [{name: 'b', match: {zone: 'hall-b'}, attempts: 1}, {name: 'a', match: {zone: 'hall-a'}, \
+        attempts: 2}]}",
+    );
+    assert_eq!(table.resolve(&subject(0, "s")).expect("limits").route, Some(1));
+}
+
+/// Guards operators against an order that they did not mean.
+#[test]
+fn unreachable_and_ambiguous_routes_are_told() {
+    let text = "{routes: [{name: 'a', match: {service: 'mail-*'}, attempts: 1}, \
+        {name: 'b', match: {service: 'mail-in-*', class: 'keyed'}, attempts: 2},\
+        {name: 'c', match: {service: '*-late'}, attempts: 2},\
+        {name: 'd', match: {class: 'keyed', service: 'mail-night'}, attempts: 3},\
+        {name: 'e', match: {service: 'x'}}]}";
+    assert_eq!(
+        told(text),
+        [
+            "route \"b\" is never taken: route \"a\" before it takes all that it matches",
+            "routes \"a\" and \"c\" may match the same job: the first one is taken",
+            "route \"d\" is never taken: route \"a\" before it takes all that it matches",
+        ]
+    );
+}
+
+/// Guards a limit against the second's edge, a clock that stands still, and one that has rested.
+#[test]
+fn a_rate_has_no_edge() {
+    let mut limits = limits("{default: {ratePerS: 10, burst: 5}}");
+    let of = limits.resolve(&subject(0, "s")).expect("limits");
+    let mut taken = |now: f64| (0..20).filter(|_| limits.admit(now, &of).is_ok()).count();
+    assert_eq!(taken(999.9999), 5, "the burst");
+    assert_eq!(taken(999.9999), 0, "the clock stands still");
+    assert_eq!(taken(1000.0001), 0, "the second's edge brings nothing");
+    assert_eq!(taken(1000.2), 2);
+    assert_eq!(taken(1060.0), 5, "a rest earns one burst and no more");
+}
+
+/// Guards against clients that were turned away together and come back together.
+#[test]
+fn those_turned_away_are_told_different_times() {
+    let mut limits = limits("{default: {ratePerS: 10, burst: 1}}");
+    let of = limits.resolve(&subject(0, "s")).expect("limits");
+    let away =
+        |turned: Result<Option<Ticket>, Turned>| turned.map(|_| ()).expect_err("turned away").retry_in_s;
+    limits.admit(100.0, &of).expect("taken");
+    let told: Vec<f64> = (0..400).map(|_| away(limits.admit(100.0, &of))).collect();
+    assert!((told[0] - 0.1).abs() < 1e-6 && (told[1] - 0.2).abs() < 1e-6, "{:?}", &told[..2]);
+    assert_eq!(told[399], 30.0, "and nobody is sent away for ever");
+    assert!(told.windows(2).all(|w| w[0] <= w[1]));
+}
+
+/// Guards places in flight: given back once, and their pace tells when to come back.
+#[test]
+fn a_place_in_flight_is_given_back() {
+    let mut limits = limits("{default: {inFlight: 2}}");
+    let of = limits.resolve(&subject(0, "s")).expect("limits");
+    let tickets: Vec<Ticket> = (0..2).filter_map(|_| limits.admit(100.0, &of).expect("a place")).collect();
+    let turned = limits.admit(100.0, &of).expect_err("no place");
+    assert_eq!((turned.why, turned.retry_in_s), (Why::InFlight, 0.25));
+    tickets.into_iter().for_each(|ticket| limits.over(110.0, ticket));
+    assert_eq!(limits.readings(110.0)[0].in_flight, 0);
+    let slow: Vec<_> = (0..2).map(|_| limits.admit(110.0, &of).expect("a place")).collect();
+    let turned = limits.admit(110.0, &of).expect_err("no place");
+    assert!(turned.retry_in_s > 1.0, "places were held for 10 s: {turned:?}");
+    assert_eq!(slow.len(), 2);
+}
+
+/// Guards a place in flight against a job that the rate turns away after it had one.
+#[test]
+fn a_rate_that_says_no_takes_no_place() {
+    let mut limits = limits("{default: {inFlight: 2, ratePerS: 1, burst: 1}}");
+    let of = limits.resolve(&subject(0, "s")).expect("limits");
+    limits.admit(100.0, &of).expect("taken");
+    for _ in 0..5 {
+        assert_eq!(limits.admit(100.0, &of).expect_err("turned away").why, Why::Rate);
+    }
+    assert_eq!(limits.readings(100.0)[0].in_flight, 1);
+}
+
+/// Guards machines in a brown-out: further tries stay a share of first ones, and are paid for anew as time passes.
+#[test]
+fn a_budget_bounds_a_storm() {
+    let mut limits = limits("{default: {retryBudget: 0.2, retryFloor: 1}}");
+    let of = limits.resolve(&subject(0, "s")).expect("limits");
+    let ticket = limits.admit(100.0, &of).expect("taken").expect("something is counted");
+    (0..50).for_each(|n| limits.first_try(100.0 + f64::from(n) / 10.0, &ticket));
+    let storm =
+        |limits: &mut Limits, now| (0..99).filter(|_| limits.further_try(now, &ticket).is_ok()).count();
+    assert_eq!(storm(&mut limits, 105.0), 11);
+    let turned = limits.further_try(105.0, &ticket).expect_err("spent");
+    assert_eq!((turned.why, turned.retry_in_s > 9.0), (Why::RetryBudget, true), "{turned:?}");
+    // Of the first tries those of the last ten seconds count, and the further ones still do.
+    assert_eq!(storm(&mut limits, 113.0), 0);
+    assert_eq!(storm(&mut limits, 116.0), 1, "the floor alone");
+}
+
+/// Guards memory under endless reloads, and what is counted for a route over a reload that keeps it.
+#[test]
+fn gauges_outlive_their_file_only_as_needed() {
+    let mut limits = limits("{routes: [{name: 'a', match: {}, inFlight: 1}]}");
+    let of = limits.resolve(&subject(0, "s")).expect("limits");
+    let ticket = limits.admit(100.0, &of).expect("a place").expect("a ticket");
+    limits.swap(table("{default: {attempts: 2}, routes: [{name: 'a', match: {}, inFlight: 1}]}"));
+    let again = limits.resolve(&subject(0, "s")).expect("limits");
+    assert!(limits.admit(100.0, &again).is_err(), "the place is taken still");
+    for n in 0..1000 {
+        limits.swap(table(&format!("{{routes: [{{name: 'r{n}', match: {{}}, inFlight: 9}}]}}")));
+        assert_eq!(limits.kept(), 2, "the file's own and the one that a job holds");
+    }
+    limits.over(200.0, ticket);
+    assert_eq!(limits.kept(), 1);
+    limits.swap(table("{}"));
+    assert_eq!(limits.kept(), 0);
+}
+
+fn pattern() -> impl Strategy<Value = String> {
+    prop_oneof![Just("*".to_string()), "[ab]{1,3}", "[ab]{1,2}\\*", "[ab?*]{1,4}"]
+}
+
+fn span() -> impl Strategy<Value = Option<(f64, f64)>> {
+    proptest::option::of((0u32..3, 0u32..3).prop_map(|(a, b)| (f64::from(a.min(b)), f64::from(a.max(b)))))
+}
+
+fn matching() -> impl Strategy<Value = Matching> {
+    let front = proptest::option::of(prop_oneof![Just(Front::Rest), Just(Front::Platform)]);
+    let zone = proptest::option::of(prop_oneof![Just("hall-a".to_string()), Just("hall-b".to_string())]);
+    let parts = (front, proptest::option::of(0usize..3), pattern(), zone, span(), span());
+    parts.prop_map(|(front, class, service, zone, cores, memory)| Matching {
+        front,
+        class,
+        service: Pattern::new(&service),
+        zone,
+        cores,
+        memory,
+    })
+}
+
+fn figures() -> impl Strategy<Value = Figures> {
+    let time = || proptest::option::of((1u32..20_000).prop_map(|ms| f64::from(ms) / 1e3));
+    let pause =
+        (0u32..500, 0u32..500).prop_map(|(a, b)| (f64::from(a.min(b)) / 1e3, f64::from(a.max(b)) / 1e3));
+    let copy = prop_oneof![Just(SecondCopy::Never), Just(SecondCopy::AfterGiveUp)];
+    let rate = (1u32..100, 1u32..50).prop_map(|(r, b)| Rate { per_s: f64::from(r), burst: f64::from(b) });
+    let budget = (0u32..20, 0u32..4).prop_map(|(s, floor)| Budget { share: f64::from(s) / 10.0, floor });
+    use proptest::option::of as some;
+    let first = (some(1u32..9), time(), time(), time(), some(pause));
+    let second = (some(copy), some(1u32..50), some(rate), some(budget));
+    (first, second).prop_map(
+        |((attempts, attempt_s, total_s, window_s, pause_s), (second_copy, in_flight, rate, budget))| {
+            Figures { attempts, attempt_s, total_s, window_s, pause_s, second_copy, in_flight, rate, budget }
+        },
+    )
+}
+
+pub(crate) fn model() -> impl Strategy<Value = Model> {
+    let routes = proptest::collection::vec((matching(), figures()), 0..24);
+    (figures(), proptest::collection::vec(figures(), 3), routes).prop_map(|(default, classes, routes)| {
+        let route = |(at, (matching, figures))| Route { name: format!("r{at}").into(), matching, figures };
+        Model { default, classes, routes: routes.into_iter().enumerate().map(route).collect() }
+    })
+}
+
+proptest! {
+    /// Guards the index: it finds what a walk over all routes in their order finds.
+    #[test]
+    fn an_index_finds_what_a_walk_finds(
+        model in model(), class in 0usize..3, service in "[ab]{0,4}", cores in 0u32..4, rest in any::<bool>(),
+    ) {
+        let table = Table::new(model, &settings(), Some("hall-a"));
+        let front = if rest { Front::Rest } else { Front::Platform };
+        let room = Room { cores: f64::from(cores), memory: 1.0 };
+        let subject = Subject { front, class, service: &service, room };
+        let walk = table.model().routes.iter().position(|route| {
+            let own = &route.matching;
+            own.front.is_none_or(|f| f == front)
+                && own.class.is_none_or(|c| c == class)
+                && own.zone.as_deref().is_none_or(|z| z == "hall-a")
+                && own.service.matches(&service)
+                && own.fits(room)
+        });
+        prop_assert_eq!(table.resolve(&subject).expect("limits").route, walk);
+    }
+
+    /// Guards the rules: whatever a file says, it only narrows what the settings allow.
+    #[test]
+    fn what_is_resolved_never_exceeds_the_settings(model in model(), class in 0usize..3, service in "[ab]{0,3}") {
+        let settings = settings();
+        let table = Table::new(model, &settings, Some("hall-a"));
+        let of = table.resolve(&subject(class, &service)).expect("limits");
+        prop_assert!(of.task.attempts <= settings.max_attempts && of.task.attempts > 0);
+        match settings.classes[class].effect {
+            Effect::Keyed { window_s, .. } => prop_assert!(of.task.window_s <= window_s),
+            Effect::Once => prop_assert!(!of.task.copies),
+            Effect::Repeatable => {}
+        }
+    }
+
+    /// Guards machines: over any span a rate lets through no more than its burst and its pace.
+    #[test]
+    fn a_rate_holds_over_every_span(
+        per_s in 1u32..50, burst in 1u32..20, steps in proptest::collection::vec(0u32..200, 1..200),
+    ) {
+        let rate = Rate { per_s: f64::from(per_s), burst: f64::from(burst) };
+        let (mut gauge, mut now, mut taken) = (RateGauge::default(), 100.0, Vec::new());
+        for step in steps {
+            now += f64::from(step) / 1e3;
+            match gauge.take(now, rate) {
+                Ok(()) => taken.push(now),
+                Err(away) => prop_assert!(away > 0.0 && away <= gauges::LONGEST_AWAY_S),
+            }
+        }
+        for (at, from) in taken.iter().enumerate() {
+            for (count, to) in (1..).zip(&taken[at..]) {
+                let most = rate.burst + rate.per_s * (to - from) + 1e-6;
+                prop_assert!(f64::from(count) <= most, "{} in {} s", count, to - from);
+            }
+        }
+    }
+
+    /// Guards machines: at any time the further tries of ten seconds are paid for by the first ones and the floor.
+    #[test]
+    fn a_budget_holds_at_every_step(
+        share in 0u32..10, floor in 0u32..4, steps in proptest::collection::vec((0u32..3000, any::<bool>()), 1..200),
+    ) {
+        let budget = Budget { share: f64::from(share) / 10.0, floor };
+        let (mut gauge, mut now) = (TriesGauge::default(), 100.0);
+        for (step, first) in steps {
+            now += f64::from(step) / 1e3;
+            if first {
+                gauge.first(now);
+            } else if gauge.further(now, budget) {
+                let (first, further) = gauge.counts(now);
+                prop_assert!(f64::from(further) <= f64::from(floor) + budget.share * f64::from(first) + 1e-6);
+            } else {
+                let away = gauge.away(now, budget);
+                prop_assert!(away > 0.0 && away <= gauges::LONGEST_AWAY_S);
+            }
+        }
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,3 @@
 //! What subsystems decide: a module each, pure, without I/O, clock or random source of its own.
+
+pub mod limits;
--- /dev/null
+++ b/src/document/tests.rs
@@ -0,0 +1,50 @@
+//! The readers against texts that are at fault.
+
+use super::*;
+
+fn faults(text: &str, read: impl Fn(&Section<'_>)) -> Vec<String> {
+    let text = Text::new("f", text);
+    let sink = Sink::default();
+    match parse(&text) {
+        Err(faults) => faults.lines(),
+        Ok(root) => {
+            let section = Item::root(&root, &sink).section().expect("an object");
+            read(&section);
+            section.close(|_| None);
+            Faults::new(&text, sink.take()).lines()
+        }
+    }
+}
+
+/// Guards operators against a file of which only the first fault is told, or one at the wrong place.
+#[test]
+fn all_faults_are_told_in_the_order_of_the_text() {
+    let text = "{\n  // ä remark\n  a: 0,\n  'b': NaN, c: 1e999, d: 0x10, d: 2,\n  lissen: '',\n}";
+    let told = faults(text, |s| {
+        for name in ["d", "c", "b", "a"] {
+            s.get(name).and_then(|i| i.millis(1e3));
+        }
+        s.get("listen");
+    });
+    assert_eq!(
+        told,
+        [
+            "f:3:6: a: is 0; above 0 and up to 1000 ms is allowed",
+            "f:4:8: b: is not a number",
+            "f:4:16: c: is infinite, or too large for a number",
+            "f:4:32: d: is named twice",
+            "f:5:3: lissen: \"lissen\" is not known; did you mean \"listen\"?",
+        ]
+    );
+}
+
+/// Guards against a text that is cut off, as by a writer that has not finished.
+#[test]
+fn every_cut_of_a_text_is_refused_or_whole() {
+    let whole = "{rest: {listen: \"a\", n: [1, 2.5, -3]}, x: null}";
+    for cut in 0..whole.len() {
+        assert!(parse(&Text::new("f", &whole[..cut])).is_err(), "{cut}");
+    }
+    assert!(parse(&Text::new("f", whole)).is_ok());
+    assert!(parse(&Text::new("f", "[".repeat(100_000))).is_err(), "nested without end");
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 //!     room: Room { cores: 2.0, memory: 3.0 },
 //!     deadline: 106.0,
 //!     life_s: None,
+//!     limits: TaskLimits::default(),
 //! };
 //! placer.handle(101.0, Event::Submitted { request: RequestId(1), task }, &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Bind { machine: MachineId(0), .. })));
@@ -68,7 +69,8 @@
 //! ```
 #![deny(missing_docs)]
 
-mod decide;
+pub mod decide;
+pub mod document;
 pub mod life;
 mod placer;
 mod state;
--- a/src/life/cli.rs
+++ b/src/life/cli.rs
@@ -1,5 +1,8 @@
 //! The command line.
 
+use super::config::{Config, ConfigError};
+use crate::decide::limits::{explain, Front, Subject};
+use crate::placer::Room;
 use crate::wire::import::{self, Bad, Mapping};
 use crate::wire::rest;
 use clap::{Parser, Subcommand, ValueEnum};
@@ -23,19 +26,22 @@
         /// The configuration; the file named in NODE_CONFIG if absent.
         #[arg(long)]
         config: Option<PathBuf>,
-        /// The operator's file on the REST front, which is off without it.
+        /// The operators' file; all that it sets up is off without it.
         #[arg(long)]
-        rest: Option<PathBuf>,
+        operators: Option<PathBuf>,
     },
     /// Look a configuration over, and tell what is wrong with it.
     Check {
         /// The configuration; the file named in NODE_CONFIG if absent.
         #[arg(long)]
         config: Option<PathBuf>,
-        /// The operator's file on the REST front.
+        /// The operators' file; each of its faults is shown with its place.
         #[arg(long)]
-        rest: Option<PathBuf>,
+        operators: Option<PathBuf>,
     },
+    /// Look into the limits of an operators' file.
+    #[command(subcommand)]
+    Limits(Limits),
     /// Turn a HAR file or an access log into a job mix, on standard output. Bad lines are told by number.
     Import {
         /// The file.
@@ -68,6 +74,50 @@
     Version,
 }
 
+#[derive(Subcommand)]
+enum Limits {
+    /// Print the limits of a job, and where each comes from.
+    Explain {
+        /// The configuration; the file named in NODE_CONFIG if absent.
+        #[arg(long)]
+        config: Option<PathBuf>,
+        /// The operators' file.
+        #[arg(long)]
+        operators: PathBuf,
+        /// The job's class.
+        #[arg(long)]
+        class: String,
+        /// The job's service, in its owner's words.
+        #[arg(long, default_value = "")]
+        service: String,
+        /// The front that it comes through.
+        #[arg(long, value_enum, default_value = "platform")]
+        front: FrontName,
+        /// Cores that it asks for.
+        #[arg(long, default_value_t = 1.0)]
+        cores: f64,
+        /// Memory that it asks for.
+        #[arg(long, default_value_t = 1.0)]
+        memory: f64,
+    },
+    /// Print what would change from one operators' file to another.
+    Diff {
+        /// The configuration; the file named in NODE_CONFIG if absent.
+        #[arg(long)]
+        config: Option<PathBuf>,
+        /// The file in force.
+        old: PathBuf,
+        /// The file that would follow it.
+        new: PathBuf,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum FrontName {
+    Platform,
+    Rest,
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Format {
     Har,
@@ -120,14 +170,61 @@
     Ok(())
 }
 
+/// Shows every fault of an operators' file with its line; other errors in one line.
+fn drawn(error: ConfigError) -> String {
+    match error {
+        ConfigError::Operators(faults) => {
+            let many = if faults.count() == 1 { "" } else { "s" };
+            format!("{} fault{many}\n{}", faults.count(), faults.drawn().trim_end())
+        }
+        other => other.to_string(),
+    }
+}
+
+fn limits(command: Limits) -> Result<(), ConfigError> {
+    match command {
+        Limits::Explain { config, operators, class, service, front, cores, memory } => {
+            let (settings, words) = super::settings_of(&Config::load(config.clone())?)?;
+            let file = super::operators_of(&Config::load(config)?, &operators)?;
+            let index = words.class(&class).ok_or_else(|| ConfigError::NoClass(class.clone()))?;
+            let front = match front {
+                FrontName::Platform => Front::Platform,
+                FrontName::Rest => Front::Rest,
+            };
+            let subject = Subject { front, class: index, service: &service, room: Room { cores, memory } };
+            let (route, lines) = explain::explain(&file.limits, &subject, &settings, words.classes());
+            println!("route: {}", route.as_deref().unwrap_or("none"));
+            for line in lines {
+                println!("{:<15} {:<24} {}", line.name, line.value, line.from);
+            }
+        }
+        Limits::Diff { config, old, new } => {
+            let config = Config::load(config)?;
+            let (_, words) = super::settings_of(&config)?;
+            let (old, new) = (super::operators_of(&config, &old)?, super::operators_of(&config, &new)?);
+            for line in explain::diff(old.limits.model(), new.limits.model(), words.classes()) {
+                println!("{line}");
+            }
+            if old.rest != new.rest {
+                println!("~ rest: changes with a restart alone");
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Reads the command line and does what it says.
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let filter = EnvFilter::try_from_env("BURLHOOK_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
     let done = match arguments.command {
-        Command::Serve { config, rest } => super::serve(config, rest).map_err(|e| e.to_string()),
-        Command::Check { config, rest } => super::check(config, rest).map_err(|e| e.to_string()),
+        Command::Serve { config, operators } => super::serve(config, operators).map_err(|e| e.to_string()),
+        Command::Check { config, operators } => {
+            let told = super::check(config, operators).map_err(drawn);
+            told.map(|told| told.iter().for_each(|line| println!("note: {line}")))
+        }
+        Command::Limits(command) => limits(command).map_err(drawn),
         Command::Import { file, format, stateless_class, keyed_class, deadline_ms } => {
             let source = file.file_name().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default();
             let mapping = Mapping { source, stateless: stateless_class, keyed: keyed_class, deadline_ms };
--- a/src/life/config.rs
+++ b/src/life/config.rs
@@ -1,9 +1,9 @@
 //! The configuration that the platform hands over.
 
+use crate::document::Faults;
 use crate::wire::hub::Bounds;
 use crate::wire::platform::board::Known;
 use crate::wire::platform::Source;
-use crate::wire::rest::Options;
 use serde::Deserialize;
 use serde_json::Value;
 use std::path::PathBuf;
@@ -25,6 +25,12 @@
     /// The settings cannot be served.
     #[error("settings: {0}")]
     Settings(String),
+    /// The operators' file cannot be used.
+    #[error("{0}")]
+    Operators(#[from] Faults),
+    /// A class that the settings do not have.
+    #[error("there is no class {0:?} in the settings")]
+    NoClass(String),
     /// The address is not to be had.
     #[error("cannot listen on {0}: {1}")]
     Listen(String, std::io::Error),
@@ -104,17 +110,6 @@
     pub board: Option<String>,
     pub known: Known,
     pub settings: Value,
-    /// The second front, where the operator's file sets one up.
-    pub rest: Option<Options>,
-}
-
-/// Reads the operator's file on the REST front.
-pub fn rest(path: PathBuf) -> Result<Options, ConfigError> {
-    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError::Read(path.clone(), e))?;
-    let one_line = |e: toml::de::Error| e.message().replace('\n', " ");
-    let options: Result<Options, _> = toml::from_str(&text).map_err(one_line);
-    let checked = options.and_then(|options| options.check().map(|()| options));
-    checked.map_err(|e| ConfigError::Parse(path, e))
 }
 
 /// Seconds. The time for a connection to come up, where the settings name none.
@@ -141,7 +136,6 @@
             board: file.board,
             known: file.known,
             settings: file.settings,
-            rest: None,
         })
     }
 
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -2,15 +2,17 @@
 
 pub mod cli;
 mod config;
+mod operators;
 
-use crate::placer::{ListKind, Seconds};
-use crate::state::{Core, Keep};
-use crate::vocabulary;
+use crate::placer::{ListKind, Seconds, Settings};
+use crate::state::{Core, Input, Keep};
+use crate::vocabulary::{self, Vocabulary};
 use crate::wire::hub::{seconds, Hub};
 use crate::wire::platform::Source;
 use crate::wire::{platform, rest};
 use config::{Config, ConfigError};
-use std::path::PathBuf;
+use operators::Operators;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -59,6 +61,8 @@
 struct Life {
     phase: Phase,
     config: Config,
+    /// The operators' file in force, where one is named.
+    operators: Option<Operators>,
     /// Where the notice board is; a reload moves it.
     board: watch::Sender<Source>,
 }
@@ -84,32 +88,46 @@
 ///
 /// # Errors
 /// What keeps it from starting.
-pub fn serve(config: Option<PathBuf>, rest: Option<PathBuf>) -> Result<(), ConfigError> {
-    let mut config = Config::load(config)?;
-    config.rest = rest.map(config::rest).transpose()?;
+pub fn serve(config: Option<PathBuf>, operators: Option<PathBuf>) -> Result<(), ConfigError> {
+    let config = Config::load(config)?;
+    let operators = operators.map(|path| operators_of(&config, &path)).transpose()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let board = watch::Sender::new(config.source());
-    let mut life = Life { phase: Phase::Starting, config, board };
+    let mut life = Life { phase: Phase::Starting, config, operators, board };
     runtime.map_err(ConfigError::Runtime)?.block_on(life.live())
 }
 
-/// Looks a configuration over without serving it.
+/// Looks the files over without serving them; gives what is worth a word.
 ///
 /// # Errors
-/// What is wrong with it.
-pub fn check(config: Option<PathBuf>, rest: Option<PathBuf>) -> Result<(), ConfigError> {
+/// What is wrong with them.
+pub fn check(config: Option<PathBuf>, operators: Option<PathBuf>) -> Result<Vec<String>, ConfigError> {
     let config = Config::load(config)?;
-    rest.map(config::rest).transpose()?;
-    core_of(&config).map(|_| ())
+    let operators = operators.map(|path| operators_of(&config, &path)).transpose()?;
+    core_of(&config, operators.as_ref())?;
+    Ok(operators.map(|o| o.told).unwrap_or_default())
 }
 
-/// A core with the settings that the configuration holds.
-fn core_of(config: &Config) -> Result<Core, ConfigError> {
+/// The settings that a configuration holds.
+fn settings_of(config: &Config) -> Result<(Settings, Vocabulary), ConfigError> {
     let (settings, words) = vocabulary::settings(&config.settings).map_err(ConfigError::Settings)?;
+    settings.check().map_err(|e| ConfigError::Settings(e.to_string()))?;
+    Ok((settings, words))
+}
+
+fn operators_of(config: &Config, path: &Path) -> Result<Operators, ConfigError> {
+    let (settings, words) = settings_of(config)?;
+    Ok(operators::load(path, &settings, &words)?)
+}
+
+/// A core with the settings that the configuration holds.
+fn core_of(config: &Config, operators: Option<&Operators>) -> Result<Core, ConfigError> {
+    let (settings, words) = settings_of(config)?;
     // Where nobody can look, nothing is kept for looking at.
     let (waiting_bytes, standing) = config.limits.jobs();
     let nothing = Keep { waiting_bytes, standing, history: 0, over: 0, over_s: 0.0 };
-    let keep = config.rest.as_ref().map_or(nothing, |rest| Keep {
+    let rest = operators.and_then(|o| o.rest.as_ref());
+    let keep = rest.map_or(nothing, |rest| Keep {
         history: rest.history,
         over: rest.keep_over,
         over_s: rest.keep_over_s,
@@ -144,10 +162,12 @@
         Ok(())
     }
 
-    /// Reads the configuration anew: the notice board may have moved, and limits may differ. What the program was
-    /// started with for good, its settings, address and REST front, stays. A file that cannot be used changes nothing.
+    /// Reads both files anew; each is taken or refused alone, and one that cannot be used changes nothing. Of the
+    /// configuration, the notice board may have moved, and limits on connections may differ; of the operators' file, the
+    /// limits hold for the jobs that come from now on. What the program was started with for good, its settings,
+    /// address and REST front, stays.
     fn reload(&mut self, hub: &Hub) {
-        match Config::load(Some(self.config.path.clone())).and_then(|new| core_of(&new).map(|_| new)) {
+        match Config::load(Some(self.config.path.clone())).and_then(|new| core_of(&new, None).map(|_| new)) {
             Err(error) => {
                 tracing::error!(%error, "the new configuration cannot be used; the old one stays in force")
             }
@@ -156,13 +176,47 @@
                 self.board.send_replace(new.source());
             }
         }
+        let Some(old) = &self.operators else { return };
+        // Checked against the settings that are in force, not those of a new configuration.
+        match operators_of(&self.config, &old.path) {
+            Err(error) => {
+                tracing::error!(%error, "the new operators' file cannot be used; the old one stays in force");
+                let why = match error {
+                    ConfigError::Operators(faults) => faults.lines(),
+                    other => vec![other.to_string()],
+                };
+                hub.apply(Input::LimitsRefused { why });
+            }
+            Ok(new) => {
+                let restart = new.rest != old.rest;
+                let routes = new.limits.model().routes.len();
+                tracing::info!(
+                    digest = new.digest,
+                    routes,
+                    restart,
+                    told = new.told.join("; "),
+                    "operators' file"
+                );
+                let (table, digest) = (new.limits.clone(), new.digest.clone());
+                hub.apply(Input::Limits { table, digest });
+                // The front goes on as it was started; a change of its section is told until the restart.
+                self.operators = Some(Operators { rest: old.rest.clone(), ..new });
+            }
+        }
     }
 
     /// Opens the sockets and starts the tasks.
     async fn start(&self) -> Result<Arc<Hub>, ConfigError> {
         let config = &self.config;
-        let core = core_of(config)?;
+        let core = core_of(config, self.operators.as_ref())?;
         let (hub, wanted) = Hub::new(core, config.limits.bounds());
+        if let Some(operators) = &self.operators {
+            for told in &operators.told {
+                tracing::warn!("{told}");
+            }
+            let (table, digest) = (operators.limits.clone(), operators.digest.clone());
+            hub.apply(Input::Limits { table, digest });
+        }
         tokio::spawn(hub.clone().keep_time());
         tokio::spawn(platform::hold_links(hub.clone(), wanted, config.dial()));
         for (at, event) in config.known.notices.iter().enumerate() {
@@ -174,7 +228,7 @@
         let address = listener.local_addr().map_err(bind)?;
         tokio::spawn(platform::serve(hub.clone(), listener));
         tracing::info!(name = config.name, %address, "listening");
-        if let Some(options) = config.rest.clone() {
+        if let Some(options) = self.operators.as_ref().and_then(|o| o.rest.clone()) {
             let bind = |e| ConfigError::Listen(options.listen.clone(), e);
             let listener = TcpListener::bind(&options.listen).await.map_err(bind)?;
             let address = listener.local_addr().map_err(bind)?;
--- /dev/null
+++ b/src/life/operators.rs
@@ -0,0 +1,57 @@
+//! The operators' file: one JSON5 text, a section for each subsystem, read by the section's owner. A section that is
+//! absent is off. All faults of a file are told at once, and a file with one is not used at all.
+
+use crate::decide::limits::{self, Context, Table};
+use crate::document::{self, Faults, Item, Sink, Text};
+use crate::placer::Settings;
+use crate::vocabulary::Vocabulary;
+use crate::wire::rest::Options;
+use sha2::{Digest, Sha256};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+/// A file that was read and found right.
+#[derive(Clone, Debug)]
+pub struct Operators {
+    /// Where it was read from.
+    pub path: PathBuf,
+    /// SHA-256 of its text, in hex.
+    pub digest: String,
+    /// The REST front, where it is on.
+    pub rest: Option<Options>,
+    /// The limits; empty where the section is absent.
+    pub limits: Arc<Table>,
+    /// What is worth a word and no fault.
+    pub told: Vec<String>,
+}
+
+/// Reads a file and holds it against the settings.
+///
+/// # Errors
+/// All its faults.
+pub fn load(path: &Path, settings: &Settings, words: &Vocabulary) -> Result<Operators, Faults> {
+    let text = document::load(path)?;
+    read(path, &text, settings, words)
+}
+
+fn read(path: &Path, text: &Text, settings: &Settings, words: &Vocabulary) -> Result<Operators, Faults> {
+    let root = document::parse(text)?;
+    let sink = Sink::default();
+    let mut told = Vec::new();
+    let (mut rest, mut model) = (None, limits::Model::default());
+    if let Some(section) = Item::root(&root, &sink).section() {
+        rest = section.get("rest").and_then(|item| Options::read(&item));
+        if let Some(item) = section.get("limits") {
+            let context = Context { settings, classes: words.classes(), zones: words.zones() };
+            (model, told) = limits::read(&item, context);
+        }
+        section.close(|_| None);
+    }
+    if sink.count() > 0 {
+        return Err(Faults::new(text, sink.take()));
+    }
+    let zone = settings.zone.map(|zone| words.zone_name(zone));
+    let limits = Arc::new(Table::new(model, settings, zone.as_deref()));
+    let digest = Sha256::digest(text.text().as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect();
+    Ok(Operators { path: path.to_path_buf(), digest, rest, limits, told })
+}
--- a/src/placer/interface.rs
+++ b/src/placer/interface.rs
@@ -234,6 +234,29 @@
     }
 }
 
+/// What the operators allow a task. Each figure only narrows what the settings allow.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TaskLimits {
+    /// Attempts.
+    pub attempts: usize,
+    /// Seconds that one attempt may take.
+    pub attempt_s: Seconds,
+    /// Seconds from the first send that may have run within which a keyed task may be sent again.
+    pub window_s: Seconds,
+    /// Seconds of pause after a refusal in the mean, and the share of it by which it is drawn higher or lower;
+    /// the module's own where absent.
+    pub pause_s: Option<(Seconds, Seconds)>,
+    /// Whether it may be sent again once an attempt of it may have run.
+    pub copies: bool,
+}
+
+impl Default for TaskLimits {
+    fn default() -> Self {
+        let (attempts, endless) = (usize::MAX, f64::INFINITY);
+        TaskLimits { attempts, attempt_s: endless, window_s: endless, pause_s: None, copies: true }
+    }
+}
+
 /// A task to be placed, or one that runs already.
 #[derive(Clone, Copy, Debug)]
 pub struct Task {
@@ -249,6 +272,8 @@
     pub deadline: Seconds,
     /// How long it is expected to run, where told.
     pub life_s: Option<Seconds>,
+    /// What the operators allow it.
+    pub limits: TaskLimits,
 }
 
 /// A machine's standing in the list.
@@ -389,6 +414,8 @@
     pub reason: Reason,
     /// The request is over.
     pub finished: bool,
+    /// No further attempt would be let out, whatever the module asks for.
+    pub last: bool,
     /// The machine's report, if one came.
     pub report: Option<Report>,
 }
--- a/src/placer/rules.rs
+++ b/src/placer/rules.rs
@@ -616,12 +616,15 @@
         if out || request.state != State::Trying {
             return;
         }
-        let spent = request.attempts.len() >= self.settings.max_attempts;
+        let limits = request.task.limits;
+        let most = self.settings.max_attempts.min(limits.attempts);
+        let spent = end.last || request.attempts.len() >= most;
         if spent || due(now, self.last_call(&request.task)) || self.hopeless(now, request) {
             return self.finish(id, actions);
         }
-        let spread = 1.0 + self.rng.gen_range(-PAUSE_SPREAD..PAUSE_SPREAD);
-        let pause = if end.outcome == Outcome::Full { PAUSE_MEAN_S * spread } else { 0.0 };
+        let (mean, spread) = limits.pause_s.unwrap_or((PAUSE_MEAN_S, PAUSE_SPREAD));
+        let pause = mean * (1.0 + self.rng.gen_range(-spread..=spread));
+        let pause = if end.outcome == Outcome::Full { pause } else { 0.0 };
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.state = State::Held;
         request.not_before = now + pause;
@@ -661,9 +664,11 @@
     fn effect_allows(&self, now: Seconds, request: &Request, id: MachineId) -> bool {
         let mut risky = request.attempts.iter().filter(|a| a.may_have_run);
         match self.settings.classes[request.task.class].effect {
+            _ if !request.task.limits.copies => risky.next().is_none(),
             Effect::Repeatable => true,
             Effect::Once => risky.next().is_none(),
             Effect::Keyed { group, window_s } => {
+                let window_s = window_s.min(request.task.limits.window_s);
                 risky.all(|a| now < a.sent + window_s - KEYED_MARGIN_S && self.together(group, a.machine, id))
             }
         }
@@ -846,7 +851,8 @@
 
     fn bind(&mut self, now: Seconds, id: RequestId, at: MachineId, actions: &mut Vec<Action>) {
         let Some(task) = self.requests.get(&id).map(|r| r.task) else { return };
-        let give_up_at = self.last_call(&task).min(now + self.time_out(task.class));
+        let patience = self.time_out(task.class).min(task.limits.attempt_s);
+        let give_up_at = self.last_call(&task).min(now + patience);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(machine) = self.machines.get_mut(&at) else { return };
         let gap = 1.0 / self.pace.rate(now);
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -17,22 +17,29 @@
         let attempt = job.attempts;
         job.attempts += 1;
         let ready = self.nodes.get(&machine).is_some_and(|n| n.entry.standing == Standing::Ready);
+        let limits = job.task.limits;
         let in_window = match (self.settings.classes[job.task.class].effect, job.risky_since) {
-            (Effect_::Repeatable, _) | (_, None) => true,
+            (_, None) => true,
+            (_, Some(_)) if !limits.copies => false,
+            (Effect_::Repeatable, _) => true,
             (Effect_::Once, Some(_)) => false,
-            (Effect_::Keyed { window_s, .. }, Some(since)) => now < since + window_s,
+            (Effect_::Keyed { window_s, .. }, Some(since)) => now < since + window_s.min(limits.window_s),
         };
+        // What these forbid now they forbid for good: the module need not ask again.
+        let for_good = !in_window || attempt >= self.settings.max_attempts.min(limits.attempts);
         let allowed = ready
-            && in_window
+            && !for_good
             && job.phase == Phase::Pending
             && job.trial.is_none()
-            && attempt < self.settings.max_attempts
             && now < job.task.deadline.min(give_up_at);
         if !allowed {
-            let (outcome, reason) = (Outcome::Moot, Reason::Unknown);
-            return Some(ended(id, attempt, outcome, reason, false, None));
+            return Some(moot(id, attempt, for_good));
         }
-        let until = give_up_at.min(job.task.deadline);
+        if !self.pay_for_try(now, id) {
+            return Some(moot(id, attempt, true));
+        }
+        let job = self.jobs.get_mut(&id)?;
+        let until = give_up_at.min(job.task.deadline).min(now + limits.attempt_s);
         job.trial = Some(Trial { attempt, machine, at: now, left: false });
         let spec = job.spec.clone();
         effects.push(Effect::Launch { machine, job: id, attempt, left_s: until - now, spec });
@@ -55,7 +62,7 @@
         (job.phase, job.machine, job.placed_at) = (Phase::Running, Some(at), now);
         job.risky_since = job.risky_since.or(Some(trial.at));
         let owner = job.owner;
-        self.count_waiting(id, false);
+        self.answered(now, id);
         self.lighten(id);
         if let Some(node) = self.nodes.get_mut(&at) {
             node.standing.insert(id);
@@ -83,8 +90,11 @@
             job.risky_since = job.risky_since.or(Some(trial.at));
         }
         let finished = job.phase != Phase::Pending;
+        let last = !finished && self.is_last(now, id);
         self.changed(id, ChangeKind::Modified, effects);
-        self.feed(now, ended(id, trial.attempt, outcome, why, finished, report), effects);
+        let (request, attempt, reason) = (id, trial.attempt, why);
+        let end = End { request, attempt, outcome, reason, finished, last, report };
+        self.feed(now, Event::Ended(end), effects);
     }
 
     /// A task that stood is over: its owner hears of it, unless the owner ended it.
@@ -143,3 +153,9 @@
         }
     }
 }
+
+/// An attempt that is not let out; `last` where no other will be.
+fn moot(request: RequestId, attempt: AttemptNo, last: bool) -> Event {
+    let (outcome, reason) = (Outcome::Moot, Reason::Unknown);
+    Event::Ended(End { request, attempt, outcome, reason, finished: false, last, report: None })
+}
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -27,7 +27,7 @@
 }
 
 /// A job and what came of it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Job {
     /// Who waits.
     pub owner: Owner,
@@ -49,6 +49,12 @@
     pub risky_since: Option<Seconds>,
     /// Version of its last change.
     pub version: u64,
+    /// The limit by which it was given up.
+    pub turned: Option<Turned>,
+    /// What it holds of the limits under which it was taken, until its final answer.
+    pub(super) ticket: Option<Ticket>,
+    /// An attempt of it was let out.
+    pub(super) tried: bool,
     pub(super) trial: Option<Trial>,
     pub(super) placed_at: Seconds,
 }
@@ -78,7 +84,7 @@
     }
 
     pub(super) fn submit(&mut self, now: Seconds, ask: Ask, effects: &mut Vec<Effect>) {
-        let (id, task, owner) = (ask.job, ask.task, ask.owner);
+        let (id, owner) = (ask.job, ask.owner);
         if self.jobs.contains_key(&id) {
             return self.used_twice(now, id, owner, effects);
         }
@@ -87,7 +93,18 @@
             let (why, retry_in_s) = (Refusal::Busy, DOOR_RETRY_S);
             return effects.push(Effect::Refused { owner, job: id, why, retry_in_s });
         }
+        let (ask, ticket) = match self.limit(now, ask) {
+            Ok(taken) => taken,
+            Err(turned) => {
+                let (why, retry_in_s) = (Refusal::Limit(turned.why), turned.retry_in_s);
+                return effects.push(Effect::Refused { owner, job: id, why, retry_in_s });
+            }
+        };
+        let task = ask.task;
         self.add(now, ask, Phase::Pending);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.ticket = ticket;
+        }
         self.changed(id, ChangeKind::Added, effects);
         self.alarm(task.deadline + FORCED_ANSWER_S, Alarm::Answer(id));
         self.feed(now, Event::Submitted { request: id, task }, effects);
@@ -136,6 +153,9 @@
             retry_in_s: 0.0,
             risky_since,
             version: 0,
+            turned: None,
+            ticket: None,
+            tried: false,
             trial: None,
             placed_at: 0.0,
         };
@@ -205,10 +225,12 @@
         let late = now >= job.task.deadline - NEAR_DEADLINE_S;
         let phase = match retry_in_s {
             Some(retry_in_s) => {
+                let retry_in_s = job.turned.map_or(retry_in_s, |turned| turned.retry_in_s);
                 job.retry_in_s = retry_in_s;
-                let why = if late { Refusal::Deadline } else { Refusal::NoRoom };
+                let limit = job.turned.map(|turned| Refusal::Limit(turned.why));
+                let why = limit.unwrap_or(if late { Refusal::Deadline } else { Refusal::NoRoom });
                 effects.push(Effect::Refused { owner, job: id, why, retry_in_s });
-                if late {
+                if late && limit.is_none() {
                     Phase::DeadlinePassed
                 } else {
                     Phase::Refused
@@ -256,7 +278,7 @@
     /// Takes a job out of the open ones; it can be looked at for a while where anybody can look.
     pub(super) fn close(&mut self, now: Seconds, id: RequestId, phase: Phase, effects: &mut Vec<Effect>) {
         if self.jobs.get(&id).is_some_and(|j| j.phase == Phase::Pending) {
-            self.count_waiting(id, false);
+            self.answered(now, id);
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
         match job.owner {
--- /dev/null
+++ b/src/state/limits/tests.rs
@@ -0,0 +1,363 @@
+//! The core's guards under the operators' limits: random files, random events, and an auditor that books every attempt.
+
+use super::*;
+use crate::decide::limits::tests::model;
+use crate::decide::limits::{Model, Why};
+use crate::vocabulary;
+use proptest::prelude::*;
+use serde_json::json;
+
+const CLASSES: [&str; 3] = ["stateless", "keyed", "once"];
+const WINDOW_S: Seconds = 6.0;
+/// Seconds. What an answer may be late by: the core's own guard, and one step of the test's clock.
+const LATE_S: Seconds = 0.5;
+
+fn core() -> Core {
+    let grade = |name: &str, effect: &str| {
+        json!({"name": name, "deadline_s": 5.0, "group": "all", "idempotency": effect, "importance": 1.0,
+            "on_time_s": 1.0, "repeat_window_s": WINDOW_S})
+    };
+    let three = |value: serde_json::Value| json!([value, value, value]);
+    let boot = json!({"areas": ["hall-a"], "family_info": {"apart_by": three(json!("silent")),
+        "class_kind": three(json!(-1)), "cold_bears": 70.0, "cores_multiple": 1.0, "free_by": "used",
+        "mem_booking": 1.0, "memory_by_kind": [200.0], "prompt_start_s": three(json!(8.0)), "says_yes": "running",
+        "shows_free": true, "size_cores": [100], "spread_most": three(json!(2))},
+        "grades": [grade("stateless", "repeatable"), grade("keyed", "by_key"), grade("once", "once")],
+        "kinds": ["k"], "membership_mode": "push", "n_instances": 1, "permissions": {"max_attempts": 4},
+        "report": {"source": "silent"}, "rules": {"ask_every_s": 10.0, "fall_s": 2.0, "warm_within_s": 16.0},
+        "tick_s": 0.002, "zone": "hall-a"});
+    let (settings, words) = vocabulary::settings(&boot).expect("settings");
+    let keep = Keep { waiting_bytes: 1 << 20, standing: 1000, history: 100, over: 10, over_s: 100.0 };
+    Core::new(settings, words, 7, keep).expect("a core")
+}
+
+/// What the auditor knows of a job.
+struct Entry {
+    limits: Resolved,
+    asked_at: Seconds,
+    deadline: Seconds,
+    class: usize,
+    launches: usize,
+    out: Option<(MachineId, AttemptNo)>,
+    risky_since: Option<Seconds>,
+    left: bool,
+    sent_at: Seconds,
+    answers: usize,
+}
+
+/// A core, a clock, and an auditor of all that goes out.
+struct Audit {
+    core: Core,
+    now: Seconds,
+    jobs: BTreeMap<RequestId, Entry>,
+    next: u64,
+}
+
+impl Audit {
+    fn new(model: Model) -> Audit {
+        let mut audit = Audit { core: core(), now: 100.0, jobs: BTreeMap::new(), next: 1 };
+        audit.file(model);
+        let notice = |n: u32| {
+            let (machine, key) = (MachineId(n), MachineKey(u64::from(n)));
+            let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 90.0, memory: 180.0 });
+            let entry = crate::placer::Entry {
+                machine,
+                key,
+                zone,
+                cell,
+                kind: Some(0),
+                standing: Standing::Ready,
+                free,
+                started: 0.0,
+            };
+            Notice { entry, address: format!("a:{n}") }
+        };
+        audit.tell(Input::List { kind: ListKind::Persisted, notices: (0..3).map(notice).collect() });
+        audit
+    }
+
+    fn file(&mut self, model: Model) {
+        let table = Arc::new(Table::new(model, self.core.settings(), Some("hall-a")));
+        self.tell(Input::Limits { table, digest: String::new() });
+    }
+
+    fn tell(&mut self, input: Input) {
+        let mut effects = Vec::new();
+        self.core.apply(self.now, input, &mut effects);
+        effects.iter().for_each(|effect| self.audit(effect));
+    }
+
+    fn audit(&mut self, effect: &Effect) {
+        let now = self.now;
+        match effect {
+            Effect::Launch { machine, job, attempt, left_s, .. } => {
+                let entry = self.jobs.get_mut(job).expect("a job that was handed in");
+                assert_eq!(entry.out, None, "two attempts out together");
+                assert_eq!(entry.answers, 0, "an attempt after the answer");
+                entry.launches += 1;
+                let of = &entry.limits.task;
+                assert!(entry.launches <= of.attempts.min(4), "{} attempts", entry.launches);
+                assert!(*left_s <= of.attempt_s + 1e-6, "an attempt of {left_s} s");
+                let end = entry.deadline.min(entry.asked_at + entry.limits.total_s);
+                assert!(now + left_s <= end + 1e-6, "an attempt beyond its job's time");
+                if let Some(since) = entry.risky_since {
+                    assert!(of.copies, "a second copy");
+                    assert_ne!(entry.class, 2, "a second copy of what must run once");
+                    assert!(
+                        entry.class != 1 || now < since + of.window_s,
+                        "{} s after the first",
+                        now - since
+                    );
+                }
+                (entry.out, entry.left, entry.sent_at) = (Some((*machine, *attempt)), false, now);
+            }
+            Effect::GiveUp { job, .. } => self.ended(*job, true),
+            Effect::Placed { job, .. } | Effect::Failed { job, .. } | Effect::Refused { job, .. } => {
+                let entry = self.jobs.get_mut(job).expect("a job that was handed in");
+                entry.answers += 1;
+                assert_eq!(entry.answers, 1, "one final answer");
+                if let Effect::Refused { why: Refusal::Limit(_), retry_in_s, .. } = effect {
+                    assert!(*retry_in_s > 0.0, "when to come back");
+                }
+                let end = entry.deadline.min(entry.asked_at + entry.limits.total_s);
+                assert!(now <= end + LATE_S, "answered {} s late", now - end);
+            }
+            _ => {}
+        }
+    }
+
+    /// An attempt is no longer out; it may have run where it left and `may_have_run`.
+    fn ended(&mut self, job: RequestId, may_have_run: bool) {
+        let Some(entry) = self.jobs.get_mut(&job) else { return };
+        if entry.out.take().is_some() && may_have_run && entry.left {
+            entry.risky_since = entry.risky_since.or(Some(entry.sent_at));
+        }
+    }
+
+    fn submit(&mut self, class: usize, service: &str, rest: bool) {
+        let job = RequestId(self.next);
+        self.next += 1;
+        let room = Room { cores: 1.0, memory: 1.0 };
+        let front = if rest { Front::Rest } else { Front::Platform };
+        let table = self.core.limits.limits.table().clone();
+        let limits =
+            Resolved::clone(table.resolve(&Subject { front, class, service, room }).expect("limits"));
+        let deadline = self.now + 5.0;
+        let task = Task {
+            class,
+            tenant: None,
+            service: ServiceId(1),
+            room,
+            deadline,
+            life_s: None,
+            limits: TaskLimits::default(),
+        };
+        let (key, owner) = match rest {
+            true => (Some(format!("k{}", job.0)), Owner::Rest),
+            false => (None, Owner::Link(1)),
+        };
+        let (class_name, service) = (CLASSES[class].to_string(), service.to_string());
+        let spec = Spec { class: class_name, service, key, ..Spec::default() };
+        let (asked_at, launches, risky_since) = (self.now, 0, None);
+        let entry = Entry {
+            limits,
+            asked_at,
+            deadline,
+            class,
+            launches,
+            out: None,
+            risky_since,
+            left: false,
+            sent_at: 0.0,
+            answers: 0,
+        };
+        self.jobs.insert(job, entry);
+        self.tell(Input::Submit(Ask { job, owner, spec: Arc::new(spec), task }));
+    }
+
+    /// The attempt that went out first of those that are, or that comes `skip` after it.
+    fn out(&self, skip: usize) -> Option<(RequestId, MachineId, AttemptNo, bool)> {
+        let out =
+            |(id, e): (&RequestId, &Entry)| e.out.map(|(machine, attempt)| (*id, machine, attempt, e.left));
+        let all: Vec<_> = self.jobs.iter().filter_map(out).collect();
+        all.get(skip.checked_rem(all.len())?).copied()
+    }
+
+    fn step(&mut self, kind: u8, argument: u16) {
+        let argument = usize::from(argument);
+        match kind {
+            0..=3 => {
+                let service = ["", "a", "ab", "b", "bb"][argument % 5];
+                self.submit(argument % 3, service, argument % 2 == 0);
+            }
+            4..=6 => {
+                self.now += argument as f64 % 400.0 / 1e3;
+                self.tell(Input::Tick);
+            }
+            7..=9 => {
+                if let Some((job, _, attempt, false)) = self.out(argument) {
+                    if let Some(entry) = self.jobs.get_mut(&job) {
+                        entry.left = true;
+                    }
+                    self.tell(Input::Sent { job, attempt });
+                }
+            }
+            10..=13 => {
+                let Some((job, machine, _, true)) = self.out(argument) else { return };
+                if argument % 5 == 4 {
+                    if let Some(entry) = self.jobs.get_mut(&job) {
+                        entry.out = None;
+                    }
+                    return self.tell(Input::Bound { machine, job, body: String::new() });
+                }
+                let before = [Outcome::Full, Outcome::Full, Outcome::Error, Outcome::Lost][argument % 4];
+                self.ended(job, !before.never_ran());
+                let (after, why) = (Outcome::Ok, Reason::LineFull);
+                self.tell(Input::Ended { machine, job, before, after, why, report: None });
+            }
+            14 => {
+                let machine = MachineId(argument as u32 % 3);
+                // What left on a broken connection may have run.
+                let hit: Vec<RequestId> = self
+                    .jobs
+                    .iter()
+                    .filter(|(_, e)| e.left && e.out.is_some_and(|(at, _)| at == machine))
+                    .map(|(id, _)| *id)
+                    .collect();
+                hit.into_iter().for_each(|job| self.ended(job, true));
+                self.tell(Input::LinkBroken { machine });
+            }
+            _ => self.tell(Input::Cancel { job: RequestId(1 + argument as u64 % self.next), cause: 16 }),
+        }
+    }
+}
+
+proptest! {
+    /// Guards the rules against any file and any turn of events: attempts, their times, copies, windows, and one answer.
+    #[test]
+    fn the_guards_hold_whatever_the_file_says(
+        first in model(), second in model(),
+        steps in proptest::collection::vec((0u8..16, any::<u16>()), 1..300), at in 0usize..300,
+    ) {
+        let mut audit = Audit::new(first);
+        let mut second = Some(second);
+        for (number, (kind, argument)) in steps.into_iter().enumerate() {
+            if number == at {
+                audit.file(second.take().expect("once"));
+            }
+            audit.step(kind, argument);
+        }
+        // In the end all time is up: nothing waits, and nothing is held.
+        for _ in 0..80 {
+            audit.now += 0.1;
+            audit.tell(Input::Tick);
+        }
+        prop_assert_eq!(audit.core.pending(), 0);
+        let now = audit.now;
+        for reading in audit.core.limits_view(now).readings {
+            prop_assert_eq!(reading.in_flight, 0, "{} is held at {}", reading.in_flight, reading.name);
+        }
+    }
+}
+
+fn audit(model: Model) -> Audit {
+    Audit::new(model)
+}
+
+fn figures(of: crate::decide::limits::Figures) -> Model {
+    Model { default: of, classes: vec![Default::default(); 3], routes: vec![] }
+}
+
+fn refusals(effects: &[Effect]) -> Vec<(Refusal, Seconds)> {
+    let refusal = |e: &Effect| match e {
+        Effect::Refused { why, retry_in_s, .. } => Some((*why, *retry_in_s)),
+        _ => None,
+    };
+    effects.iter().filter_map(refusal).collect()
+}
+
+/// Guards owners: what a spent budget gives up is answered at once, not after a pause and not near the deadline.
+#[test]
+fn a_spent_budget_answers_at_once() {
+    let budget = Some(crate::decide::limits::Budget { share: 0.0, floor: 0 });
+    let mut audit = audit(figures(crate::decide::limits::Figures { budget, ..Default::default() }));
+    audit.submit(0, "a", true);
+    let (job, machine, attempt, _) = audit.out(0).expect("a launch");
+    audit.core.apply(audit.now, Input::Sent { job, attempt }, &mut Vec::new());
+    let mut effects = Vec::new();
+    let ended = Input::Ended {
+        machine,
+        job,
+        before: Outcome::Full,
+        after: Outcome::Ok,
+        why: Reason::NoCores,
+        report: None,
+    };
+    audit.core.apply(audit.now, ended, &mut effects);
+    let told = refusals(&effects);
+    assert_eq!(told.len(), 1, "{effects:?}");
+    assert_eq!(told[0].0, Refusal::Limit(Why::RetryBudget));
+    assert!(told[0].1 > 5.0, "and when the budget has room again: {told:?}");
+    assert_eq!(audit.core.job_view_of(job).expect("a job").phase, Phase::Refused);
+}
+
+/// Guards a job against a file that comes while it waits, and new jobs against an old file.
+#[test]
+fn a_job_keeps_the_limits_under_which_it_was_taken() {
+    let of = |attempts| {
+        figures(crate::decide::limits::Figures {
+            attempts: Some(attempts),
+            total_s: Some(2.0),
+            ..Default::default()
+        })
+    };
+    let mut audit = audit(of(3));
+    audit.submit(0, "a", false);
+    audit.file(of(1));
+    audit.submit(0, "a", false);
+    for _ in 0..60 {
+        audit.now += 0.05;
+        for skip in 0..2 {
+            if let Some((job, machine, attempt, _)) = audit.out(skip) {
+                audit.jobs.get_mut(&job).expect("a job").left = true;
+                audit.tell(Input::Sent { job, attempt });
+                audit.ended(job, false);
+                let (before, after, why) = (Outcome::Full, Outcome::Ok, Reason::LineFull);
+                audit.tell(Input::Ended { machine, job, before, after, why, report: None });
+            }
+        }
+        audit.tell(Input::Tick);
+    }
+    let launches: Vec<usize> = audit.jobs.values().map(|e| e.launches).collect();
+    assert_eq!(launches, [3, 1]);
+    assert!(audit.jobs.values().all(|e| e.answers == 1));
+}
+
+/// Guards memory over a long life of reloads while jobs come and go.
+#[test]
+fn endless_reloads_keep_nothing() {
+    let mut audit = audit(Model::default());
+    for n in 0..500 {
+        let matching = crate::decide::limits::Matching {
+            front: None,
+            class: None,
+            service: crate::decide::limits::Pattern::Any,
+            zone: None,
+            cores: None,
+            memory: None,
+        };
+        let figures = crate::decide::limits::Figures { in_flight: Some(5), ..Default::default() };
+        let route = crate::decide::limits::Route { name: format!("r{n}").into(), matching, figures };
+        let classes = vec![Default::default(); 3];
+        audit.file(Model { default: Default::default(), classes, routes: vec![route] });
+        audit.submit(0, "a", false);
+        audit.now += 0.1;
+        audit.tell(Input::Tick);
+        assert!(audit.core.gauges_kept() < 100, "{}", audit.core.gauges_kept());
+    }
+    for _ in 0..100 {
+        audit.now += 0.1;
+        audit.tell(Input::Tick);
+    }
+    assert_eq!(audit.core.gauges_kept(), 1);
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod attempts;
 mod history;
 mod jobs;
+mod limits;
 mod machines;
 mod views;
 mod words;
@@ -15,10 +16,12 @@
 use alarms::Alarm;
 pub use history::{Change, ChangeKind, History, Resume};
 use jobs::{Job, Trial};
+use limits::InForce;
 use machines::Node;
 pub use views::{JobView, MachineView, Object};
 pub use words::{Ask, Effect, Input, Keep, Notice, Owed, Owner, Phase, Refusal, Spec};
 
+use crate::decide::limits::{Front, Limits, Resolved, Subject, Table, Ticket, Turned};
 use crate::placer::Effect as Effect_;
 use crate::placer::Placer;
 use crate::placer::*;
@@ -53,6 +56,7 @@
     open_rest: usize,
     keep: Keep,
     history: History,
+    limits: InForce,
 }
 
 impl Core {
@@ -62,6 +66,7 @@
     /// If the settings cannot be served.
     pub fn new(settings: Settings, words: Vocabulary, seed: u64, keep: Keep) -> Result<Self, SettingsError> {
         let placer = Placer::new(settings.clone(), seed)?;
+        let limits = InForce::new(Limits::new(&settings, words.classes().to_vec()));
         Ok(Core {
             placer,
             settings,
@@ -77,6 +82,7 @@
             open_rest: 0,
             keep,
             history: History::new(keep.history),
+            limits,
         })
     }
 
@@ -179,6 +185,8 @@
             Input::DialRefused { machine } => self.dial_refused(now, machine, effects),
             Input::LinkBroken { machine } => self.break_trials(now, machine, true, Reason::Broken, effects),
             Input::MachineLost { machine } => self.machine_lost(now, machine, effects),
+            Input::Limits { table, digest } => self.take_limits(now, table, digest),
+            Input::LimitsRefused { why } => self.limits.refuse(now, why),
             Input::Tick => self.tick(now, effects),
         }
     }
@@ -218,7 +226,7 @@
     finished: bool,
     report: Option<Report>,
 ) -> Event {
-    Event::Ended(End { request, attempt, outcome, reason, finished, report })
+    Event::Ended(End { request, attempt, outcome, reason, finished, last: false, report })
 }
 
 #[cfg(test)]
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -63,6 +63,7 @@
             room: Room { cores: 1.0, memory: 1.0 },
             deadline: self.now + 5.0,
             life_s: None,
+            limits: TaskLimits::default(),
         };
         let spec = Spec { class: "c".into(), key: key.map(str::to_string), ..Spec::default() };
         let owner = if key.is_some() { Owner::Rest } else { Owner::Link(1) };
@@ -209,6 +210,7 @@
             room: Room { cores: 1.0, memory: 1.0 },
             deadline: bench.now,
             life_s: None,
+            limits: TaskLimits::default(),
         };
         let spec = Arc::new(Spec { class: "c".into(), ..Spec::default() });
         let ask = Ask { job: RequestId(job), owner: Owner::Link(1), spec, task };
--- a/src/state/views.rs
+++ b/src/state/views.rs
@@ -13,6 +13,8 @@
     pub attempts: usize,
     pub deadline: Seconds,
     pub last: Option<(Outcome, Reason)>,
+    /// The limit by which it was given up.
+    pub turned: Option<Turned>,
     pub retry_in_s: Seconds,
     pub version: u64,
 }
@@ -64,6 +66,7 @@
             attempts: job.attempts,
             deadline: job.task.deadline,
             last: job.last,
+            turned: job.turned,
             retry_in_s: job.retry_in_s,
             version: job.version,
         }
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -1,5 +1,6 @@
 //! The words between the core and the world: what happens, what is to be done, and how jobs stand.
 
+use crate::decide::limits::{Table, Why};
 use crate::placer::{
     AttemptNo, Entry, ListKind, MachineId, Note, Outcome, Reason, Report, RequestId, Seconds, Task,
 };
@@ -100,6 +101,10 @@
     LinkBroken { machine: MachineId },
     /// The machine or its process is gone with all it held.
     MachineLost { machine: MachineId },
+    /// The operators' limits, checked and compiled, are to be in force for the jobs that come from now on.
+    Limits { table: Arc<Table>, digest: String },
+    /// A new operators' file was refused; what is in force stays.
+    LimitsRefused { why: Vec<String> },
     /// Time has passed.
     Tick,
 }
@@ -146,6 +151,8 @@
     Deadline,
     /// The planner holds all the jobs that it can.
     Busy,
+    /// A limit of the operators' file.
+    Limit(Why),
 }
 
 /// Where a job stands.
--- a/src/vocabulary.rs
+++ b/src/vocabulary.rs
@@ -58,6 +58,16 @@
         self.names.retain(|id, _| keep(*id));
     }
 
+    /// The classes' names, in the settings' order.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
+    /// The zones' names: those of the settings, then others as they were met.
+    pub fn zones(&self) -> &[String] {
+        &self.zones
+    }
+
     /// The index of a class.
     pub fn class(&self, name: &str) -> Option<usize> {
         place_of(&self.classes, name)
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -120,6 +120,9 @@
     next_link: u64,
     /// No new test of an owner is passed.
     pub draining: bool,
+    /// Why the last job of the REST front was turned away at the door, and for how many seconds; the front takes it
+    /// out under the lock under which it handed the job in.
+    pub turned_away: Option<(Refusal, Seconds)>,
 }
 
 /// Shared by all tasks.
@@ -147,6 +150,7 @@
             connects,
             next_link: 0,
             draining: false,
+            turned_away: None,
         };
         let hub = Hub {
             inner: Mutex::new(inner),
@@ -246,9 +250,13 @@
             Effect::Refused { owner, job, why, retry_in_s } => {
                 let cause = match why {
                     Refusal::NoRoom => cause::FULL,
-                    Refusal::Busy => cause::BUSY,
+                    Refusal::Busy | Refusal::Limit(_) => cause::BUSY,
                     Refusal::Deadline => cause::MOOT,
                 };
+                // What is turned away at the door leaves no job that its client could look at.
+                if owner == Owner::Rest && self.core.job(job).is_none() {
+                    self.turned_away = Some((why, retry_in_s));
+                }
                 let stay_away = Some((retry_in_s * 1e3).round().max(0.0) as u64);
                 self.write_owner(now, owner, owner::release(job.0, cause, stay_away), false);
             }
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -193,6 +193,7 @@
         room: Room { cores: set_up.cores, memory: set_up.memory },
         deadline: now + set_up.wait_ms as f64 / 1e3,
         life_s: None,
+        limits: TaskLimits::default(),
     };
     let service = format!("{:016x}", set_up.service);
     let SetUp { class, name, key, body, .. } = set_up;
--- a/src/wire/rest/answers.rs
+++ b/src/wire/rest/answers.rs
@@ -32,6 +32,12 @@
         Problem { retry_after_s: Some(retry_after_s), ..problem }
     }
 
+    /// A limit of the operators turned the job away; asking again is harmless.
+    pub fn limited(detail: &str, retry_after_s: f64) -> Problem {
+        let problem = Problem::new(429, "limited", "A limit turned the job away", detail);
+        Problem { retry_after_s: Some(retry_after_s), ..problem }
+    }
+
     /// The job failed and may have run.
     pub fn failed(detail: &str) -> Problem {
         Problem::new(502, "failed", "The job failed", detail)
--- a/src/wire/rest/jobs.rs
+++ b/src/wire/rest/jobs.rs
@@ -5,7 +5,7 @@
 use super::objects::{self, NewJob};
 use super::Front;
 use crate::placer::*;
-use crate::state::{Ask, Input, JobView, Owner, Phase, Spec};
+use crate::state::{Ask, Input, JobView, Owner, Phase, Refusal, Spec};
 use crate::wire::platform::node;
 use axum::body::Body;
 use axum::extract::rejection::QueryRejection;
@@ -142,6 +142,7 @@
         room: Room { cores: new.cores, memory: new.memory },
         deadline: front.hub.now() + new.deadline_ms as f64 / 1e3,
         life_s: None,
+        limits: TaskLimits::default(),
     };
     let name = objects::id(id);
     let (class_name, service, body) = (new.class.clone(), new.service.clone(), new.description.clone());
@@ -150,8 +151,15 @@
         return Err(Problem::bad("the description is too long for a machine's message"));
     }
     let ask = Ask { job: id, owner: Owner::Rest, spec: Arc::new(spec), task };
+    inner.turned_away = None;
     front.hub.apply_in(&mut inner, Input::Submit(ask));
-    Ok((id, false))
+    match inner.turned_away.take() {
+        None => Ok((id, false)),
+        Some((Refusal::Limit(why), retry_in_s)) => Err(Problem::limited(objects::limit(why), retry_in_s)),
+        Some((_, retry_in_s)) => {
+            Err(Problem::unavailable("the planner holds all the jobs that it may", retry_in_s))
+        }
+    }
 }
 
 /// Waits until the job has its final answer.
@@ -169,11 +177,15 @@
 /// A job's standing as an answer: every way to end has a status of its own.
 fn answer(front: &Front, view: &JobView, fresh: u16) -> Answer {
     let object = objects::job(front, view);
-    let detail = objects::reason(view.last).unwrap_or("no machine could take it");
+    let of_limit = view.turned.map(|turned| objects::limit(turned.why));
+    let detail = of_limit.or(objects::reason(view.last)).unwrap_or("no machine could take it");
     let status = match view.phase {
         Phase::Pending => 202,
         Phase::Running => fresh,
         Phase::Succeeded => 200,
+        Phase::Refused if of_limit.is_some() => {
+            return Err(Problem::limited(detail, view.retry_in_s).about(object))
+        }
         Phase::Refused => return Err(Problem::refused(detail, view.retry_in_s).about(object)),
         Phase::DeadlinePassed => return Err(Problem::deadline(detail, view.retry_in_s).about(object)),
         Phase::Failed => return Err(Problem::failed(detail).about(object)),
--- a/src/wire/rest/mod.rs
+++ b/src/wire/rest/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod fleet;
 mod jobs;
+mod limits;
 mod objects;
 mod submit;
 mod watch;
@@ -12,6 +13,7 @@
 pub use objects::{digest, NewJob};
 pub use submit::{count, submit};
 
+use crate::document::Item;
 use crate::wire::hub::Hub;
 use answers::{Answer, Problem};
 use axum::body::Body;
@@ -24,7 +26,6 @@
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use serde::Deserialize;
 use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,12 +36,14 @@
 const HEADERS: Duration = Duration::from_secs(5);
 /// Seconds. The longest time that can be set.
 const MOST_S: f64 = 86_400.0;
+/// Count. The most of anything that can be set.
+const MOST_COUNT: u64 = 16 * 1024 * 1024;
+const LOOPBACK: &str = "only loopback addresses are listened on and asked";
 /// Wait after a failed accept.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
-/// What the operator's file says of this front. Everything has a bound.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+/// What the operators' file says of this front, in its section `rest`. Everything has a bound.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// Where it listens, on loopback.
     pub listen: String,
@@ -87,27 +90,58 @@
 }
 
 impl Options {
-    /// Whether it can be served.
-    pub fn check(&self) -> Result<(), String> {
-        let address = self.listen.parse::<std::net::SocketAddr>();
-        let address = address.map_err(|_| format!("listen: {:?} is no address", self.listen))?;
-        let positive = |x: f64| x > 0.0 && x <= MOST_S;
-        let faults = [
-            (!address.ip().is_loopback(), "listen: only a loopback address may be listened on"),
-            (self.history == 0 || self.keep_over == 0, "history, keep_over: must be above 0"),
-            (
-                !(positive(self.keep_over_s) && positive(self.bookmark_s) && positive(self.slow_watcher_s)),
-                "keep_over_s, bookmark_s, slow_watcher_s: must be above 0 and at most 86400",
-            ),
-            (
-                !self.fleet.is_empty() && !self.fleet.contains(&self.own_url),
-                "own_url: must be one of the fleet's planners",
-            ),
-        ];
-        match faults.iter().find(|(wrong, _)| *wrong) {
-            Some((_, what)) => Err((*what).to_string()),
-            None => self.fleet.iter().try_for_each(|url| client::loopback(url).map(|_| ())),
+    /// Reads the section; nothing where it cannot be served, and the item's sink knows why.
+    pub fn read(item: &Item<'_>) -> Option<Options> {
+        let section = item.section()?;
+        let before = item.sink().count();
+        let mut own = Options::default();
+        let count_from = |least, name, into: &mut usize| {
+            if let Some(n) = section.get(name).and_then(|i| i.count(least..=MOST_COUNT)) {
+                *into = n as usize;
+            }
+        };
+        let count = |name, into: &mut usize| count_from(1, name, into);
+        count("maxBodyBytes", &mut own.max_body_bytes);
+        count_from(0, "maxOpenJobs", &mut own.max_open_jobs);
+        count_from(0, "maxWatchers", &mut own.max_watchers);
+        count("maxConnections", &mut own.max_connections);
+        count("history", &mut own.history);
+        count("keepOver", &mut own.keep_over);
+        let time = |name, into: &mut f64| {
+            if let Some(seconds) = section.get(name).and_then(|i| i.millis(MOST_S * 1e3)) {
+                *into = seconds;
+            }
+        };
+        time("keepOverMs", &mut own.keep_over_s);
+        time("bookmarkMs", &mut own.bookmark_s);
+        time("slowWatcherMs", &mut own.slow_watcher_s);
+        if let Some(item) = section.get("listen") {
+            let address = item.text().map(|text| (text, text.parse::<std::net::SocketAddr>()));
+            match address {
+                Some((text, Ok(address))) if address.ip().is_loopback() => own.listen = text.into(),
+                Some((_, Ok(_))) => item.breaks("is reached from outside", LOOPBACK),
+                Some((text, Err(_))) => {
+                    item.fault(format!("{text:?} is no address; ADDRESS:PORT is expected"))
+                }
+                None => {}
+            }
+        }
+        for item in section.get("fleet").and_then(|i| i.list()).unwrap_or_default() {
+            let Some(url) = item.text() else { continue };
+            match client::loopback(url) {
+                Ok(_) => own.fleet.push(url.into()),
+                Err(why) => item.breaks(why, LOOPBACK),
+            }
+        }
+        let own_url = section.get("ownUrl");
+        if let Some(url) = own_url.as_ref().and_then(|i| i.text()) {
+            own.own_url = url.into();
+        }
+        if !own.fleet.is_empty() && !own.fleet.contains(&own.own_url) {
+            own_url.unwrap_or_else(|| item.clone()).fault("must be one of the fleet's planners (ownUrl)");
         }
+        section.close(|_| None);
+        (item.sink().count() == before).then_some(own)
     }
 }
 
@@ -138,6 +172,7 @@
         .route("/healthz", get(health))
         .route("/v1/jobs", get(list_jobs).post(jobs::submit))
         .route("/v1/jobs/{id}", get(jobs::get).delete(jobs::cancel))
+        .route("/v1/limits", get(limits::get))
         .route("/v1/machines", get(list_machines))
         .route("/v1/machines/{name}", get(get_machine))
         .fallback(|uri: Uri| async move { Problem::unknown(&format!("there is nothing at {}", uri.path())) })
--- a/src/wire/rest/objects.rs
+++ b/src/wire/rest/objects.rs
@@ -1,6 +1,7 @@
 //! Jobs and machines as JSON.
 
 use super::Front;
+use crate::decide::limits::Why;
 use crate::placer::*;
 use crate::state::{JobView, MachineView, Phase};
 use serde::{Deserialize, Serialize};
@@ -84,6 +85,15 @@
     })
 }
 
+/// The limit that turned a job away, in words.
+pub fn limit(why: Why) -> &'static str {
+    match why {
+        Why::Rate => "more jobs came than the rate allows",
+        Why::InFlight => "as many jobs are in flight as may be",
+        Why::RetryBudget => "the budget of further tries is spent",
+    }
+}
+
 /// A job's id in a path.
 pub fn id(job: RequestId) -> String {
     format!("{:016x}", job.0)
@@ -108,7 +118,8 @@
     if let Some(machine) = &view.machine {
         job["status"]["machine"] = json!(machine);
     }
-    if let Some(reason) = reason(view.last) {
+    let of_limit = view.turned.map(|turned| limit(turned.why));
+    if let Some(reason) = of_limit.or(reason(view.last)) {
         job["status"]["reason"] = json!(reason);
     }
     if matches!(view.phase, Phase::Refused | Phase::DeadlinePassed) {
@@ -138,7 +149,8 @@
     machine
 }
 
-fn stamp(at: Seconds) -> String {
+/// A time as RFC 3339 has it.
+pub(super) fn stamp(at: Seconds) -> String {
     let time = chrono::DateTime::from_timestamp_millis((at * 1e3) as i64);
     time.map(|t| t.to_rfc3339_opts(chrono::SecondsFormat::Millis, true)).unwrap_or_default()
 }
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,147 @@
+//! Operators' files that must be refused, each with every fault, its line, path and rule; and what stays in force.
+
+mod exchange;
+
+use exchange::{settings, Planner, Wire};
+use serde_json::{json, Value};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+fn corpus() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/operators");
+    let mut files: Vec<PathBuf> =
+        std::fs::read_dir(folder).expect("a folder").map(|f| f.expect("a file").path()).collect();
+    files.sort();
+    files
+}
+
+fn scratch(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("burlhook-operators-{}-{name}", std::process::id()))
+}
+
+/// Runs `check` or another command of the program on a file; gives whether it went well, and what it said.
+fn run(arguments: &[&str], file: &Path) -> (bool, String, String) {
+    let config = scratch(&format!("{}.config", file.file_name().expect("a name").to_string_lossy()));
+    let text = json!({"listen": "127.0.0.1:0", "settings": settings()});
+    std::fs::write(&config, text.to_string()).expect("a configuration");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_burlhook"));
+    let output = command.args(arguments).arg("--config").arg(&config).arg("--operators").arg(file).output();
+    let output = output.expect("it runs");
+    let _ = std::fs::remove_file(config);
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).replace(&file.display().to_string(), "FILE");
+    (output.status.success(), text(&output.stdout), text(&output.stderr))
+}
+
+/// Guards the rules against any file of the corpus: each is refused, and its faults are told as recorded.
+#[test]
+fn every_bad_file_is_refused_with_place_and_rule() {
+    let files = corpus();
+    assert!(files.len() >= 40, "{} files", files.len());
+    for file in files {
+        let (well, _, told) = run(&["check"], &file);
+        assert!(!well, "{} was taken", file.display());
+        let name = file.file_stem().expect("a name").to_string_lossy().into_owned();
+        // The drawings below each line are for people; the lines are what is promised.
+        let lines: Vec<&str> = told.lines().filter(|l| l.starts_with("FILE")).collect();
+        assert!(!lines.is_empty(), "{name}: {told}");
+        insta::with_settings!({prepend_module_to_snapshot => false, omit_expression => true, snapshot_path => "snapshots/operators"}, {
+            insta::assert_snapshot!(name, lines.join("\n"));
+        });
+    }
+}
+
+/// Guards operators who look at a fault: the line of the file stands below it, with a mark.
+#[test]
+fn a_fault_is_shown_in_its_line() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/operators");
+    let (_, _, told) = run(&["check"], &folder.join("attempts_five.json5"));
+    insta::assert_snapshot!("a_fault_is_shown_in_its_line", told);
+}
+
+/// Guards a start: a bad file ends the program with one line, whatever it is that stands there.
+#[test]
+fn a_bad_file_ends_the_start_in_one_line() {
+    let large = scratch("large");
+    std::fs::write(&large, format!("{{}} // {}", "x".repeat(4 << 20))).expect("a file");
+    let folder = scratch("folder");
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let many = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/operators/many_at_once.json5");
+    let cases = [
+        (large.clone(), "is larger than 4194304 bytes"),
+        (folder.clone(), "is a folder"),
+        (scratch("absent"), "cannot be read"),
+        (many, "(and 7 more faults)"),
+    ];
+    for (file, wanted) in cases {
+        let (well, _, told) = run(&["serve"], &file);
+        assert!(!well && told.contains(wanted), "{told}");
+        assert_eq!(told.lines().count(), 1, "{told}");
+    }
+    let _ = (std::fs::remove_file(large), std::fs::remove_dir_all(folder));
+}
+
+fn limits(client: &mut Wire) -> Value {
+    client.ask("GET /v1/limits");
+    let said = client.answer().expect("an answer");
+    serde_json::from_str(said.split_once('\n').expect("a body").1).expect("JSON")
+}
+
+/// Waits until the planner has read the file: a taken one counts up, a refused one is told of.
+fn until(client: &mut Wire, done: impl Fn(&Value) -> bool) -> Value {
+    let started = std::time::Instant::now();
+    loop {
+        let now = limits(client);
+        if done(&now) {
+            return now;
+        }
+        assert!(started.elapsed().as_secs() < 20, "never: {now}");
+    }
+}
+
+/// Guards a running planner: each bad file of the corpus leaves the old one in force, and the reason can be looked at.
+#[test]
+fn a_refused_file_leaves_the_old_one_in_force() {
+    let good = "{rest: {listen: '127.0.0.1:0'}, limits: {default: {attempts: 2}, classes: {keyed: {attemptMs: 700}}}}";
+    let planner = Planner::start(&[], None, Some(good));
+    let mut client = Wire::connect(&planner.rest);
+    let first = limits(&mut client);
+    assert_eq!((&first["generation"], &first["default"]["attempts"]), (&json!(1), &json!(2)));
+    let same = |a: &Value, b: &Value| {
+        ["generation", "digest", "default", "classes", "routes"].iter().all(|name| a[name] == b[name])
+    };
+    let mut last = Value::Null;
+    for file in corpus() {
+        planner.reload_operators(std::fs::read(&file).expect("a file"));
+        let now = until(&mut client, |now| now["lastRefusal"] != last);
+        assert!(same(&first, &now), "{}: {now}", file.display());
+        assert!(now["lastRefusal"]["faults"][0].is_string());
+        last = now["lastRefusal"].clone();
+    }
+    // And a good one is taken still.
+    planner.reload_operators(good.replace("attempts: 2", "attempts: 3"));
+    let now = until(&mut client, |now| now["generation"] == json!(2));
+    assert_eq!((&now["default"]["attempts"], now["digest"] == first["digest"]), (&json!(3), false));
+}
+
+/// Guards the example that operators start from, and what they are told of it.
+#[test]
+fn limits_are_explained_and_compared() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/operators.json5");
+    assert_eq!(run(&["check"], &file), (true, String::new(), String::new()));
+    let of = ["limits", "explain", "--class", "keyed", "--service", "notices-7", "--front", "rest"];
+    let (well, told, _) = run(&of, &file);
+    assert!(well);
+    insta::assert_snapshot!("limits_explain", told);
+    let (old, new) = (scratch("old"), scratch("new"));
+    std::fs::write(&old, std::fs::read(&file).expect("a file")).expect("a file");
+    let text = std::fs::read_to_string(&file).expect("a file");
+    let changed = text.replace("totalMs: 6000", "totalMs: 5000").replace("notices-from-rest", "notices");
+    std::fs::write(&new, changed).expect("a file");
+    let config = scratch("diff.config");
+    let settings = json!({"listen": "127.0.0.1:0", "settings": settings()});
+    std::fs::write(&config, settings.to_string()).expect("a configuration");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_burlhook"));
+    let output = command.args(["limits", "diff", "--config"]).args([&config, &old, &new]).output();
+    insta::assert_snapshot!("limits_diff", String::from_utf8_lossy(&output.expect("it runs").stdout));
+    [old, new, config].iter().for_each(|f| std::fs::remove_file(f).expect("it goes"));
+}
