--- a/src/placer/interface.rs
+++ b/src/placer/interface.rs
@@ -243,8 +243,8 @@
     pub attempt_s: Seconds,
     /// Seconds from the first send that may have run within which a keyed task may be sent again.
     pub window_s: Seconds,
-    /// Seconds of pause after a refusal in the mean, and the share of it by which it is drawn higher or lower;
-    /// the module's own where absent.
+    /// Seconds of pause after a refusal in the mean, and the share of it by which it is drawn higher or
+    /// lower; the module's own where absent.
     pub pause_s: Option<(Seconds, Seconds)>,
     /// Whether it may be sent again once an attempt of it may have run.
     pub copies: bool,
