Begin the laboratory: a stand-in node with a ledger, an auditor, load on both fronts, three rigs

Change: a workspace; lab/ (burlhook-lab) has one stand-in node that refuses, fails, stalls, resets, hangs, dies, comes back cold, drops repeats by key, by seed, script or call, and books every ask when its bytes come; an auditor of ledgers (attempts together, their number, the window); paced load through both fronts; rigs demo, reload and brownout.

--- /dev/null
+++ b/lab/src/load.rs
@@ -0,0 +1,313 @@
+//! Load on both fronts of a planner, evenly paced, whatever the answers: every ask is booked with what came of it.
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+
+/// Count. Connections to the platform's front.
+const OWNERS: usize = 8;
+/// Microseconds. The longest time that is told apart.
+const LONGEST_US: u64 = 120_000_000;
+
+/// What is asked.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Asks a second.
+    pub rate: f64,
+    /// For how long.
+    pub span: Duration,
+    /// Share of asks that come through the REST front.
+    pub rest: f64,
+    /// Share of keyed asks.
+    pub keyed: f64,
+    /// How long each waits.
+    pub deadline: Duration,
+    /// Services asked for, by turns.
+    pub services: Vec<String>,
+    /// Seed of the mix.
+    pub seed: u64,
+    /// Beyond the deadline, so long an answer is waited for.
+    pub patience: Duration,
+}
+
+/// How an ask ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    /// It runs.
+    Placed,
+    /// No machine took it, or its time was up.
+    Refused,
+    /// A limit turned it away, or the planner was full.
+    TurnedAway,
+    /// It may have run.
+    Failed,
+    /// Nothing came, or what came could not be read.
+    Unanswered,
+}
+
+/// What came of a load.
+#[derive(Clone, Debug)]
+pub struct Tally {
+    /// Asks by their end.
+    pub ends: BTreeMap<End, u64>,
+    /// Asks.
+    pub asked: u64,
+    /// Second answers, which no ask may have.
+    pub twice: u64,
+    /// Of those turned away, how many were told when to come back.
+    pub told_when: u64,
+    /// Microseconds until the answer of those that were placed.
+    pub placed_us: Histogram<u64>,
+    /// Microseconds until the answer of those that were turned away.
+    pub turned_us: Histogram<u64>,
+}
+
+impl Tally {
+    fn new() -> Tally {
+        // The bounds are constants that the histogram takes.
+        let histogram = || Histogram::new_with_bounds(1, LONGEST_US, 3).unwrap_or_else(|_| unreachable!());
+        Tally {
+            ends: BTreeMap::new(),
+            asked: 0,
+            twice: 0,
+            told_when: 0,
+            placed_us: histogram(),
+            turned_us: histogram(),
+        }
+    }
+
+    /// Asks with an end.
+    pub fn count(&self, end: End) -> u64 {
+        self.ends.get(&end).copied().unwrap_or(0)
+    }
+
+    /// Asks with exactly one final answer.
+    pub fn answered(&self) -> u64 {
+        self.asked - self.count(End::Unanswered)
+    }
+
+    fn book(&mut self, end: End, took: Duration, told_when: bool) {
+        self.asked += 1;
+        *self.ends.entry(end).or_default() += 1;
+        let micros = (took.as_micros() as u64).clamp(1, LONGEST_US);
+        match end {
+            End::Placed => self.placed_us.saturating_record(micros),
+            End::TurnedAway => self.turned_us.saturating_record(micros),
+            _ => {}
+        }
+        self.told_when += u64::from(told_when && end == End::TurnedAway);
+    }
+}
+
+type Shared = Arc<Mutex<Tally>>;
+
+fn with<T>(tally: &Shared, what: impl FnOnce(&mut Tally) -> T) -> T {
+    what(&mut tally.lock().unwrap_or_else(PoisonError::into_inner))
+}
+
+/// Asks as the shape says, and waits for the last answer.
+///
+/// # Errors
+/// If a front cannot be reached at all.
+pub fn run(shape: &Shape, owners: SocketAddr, rest: Option<SocketAddr>) -> io::Result<Tally> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(ask_all(shape, owners, rest))
+}
+
+async fn ask_all(shape: &Shape, owners: SocketAddr, rest: Option<SocketAddr>) -> io::Result<Tally> {
+    let tally: Shared = Arc::new(Mutex::new(Tally::new()));
+    let mut links = Vec::new();
+    for _ in 0..OWNERS {
+        links.push(Owner::connect(owners, tally.clone()).await?);
+    }
+    let client: Client<HttpConnector, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let mut rng = Pcg64Mcg::seed_from_u64(shape.seed);
+    let started = tokio::time::Instant::now();
+    let count = (shape.rate * shape.span.as_secs_f64()) as u64;
+    let mut asked = Vec::with_capacity(count as usize);
+    for number in 0..count {
+        tokio::time::sleep_until(started + Duration::from_secs_f64(number as f64 / shape.rate)).await;
+        let keyed = rng.gen_bool(shape.keyed);
+        let service_number = number as usize % shape.services.len();
+        let rest = rest.filter(|_| rng.gen_bool(shape.rest));
+        let ask = Ask {
+            class: if keyed { "keyed" } else { "stateless" },
+            key: keyed.then(|| format!("{:016x}{number:016x}", shape.seed)),
+            service: shape.services[service_number].clone(),
+            service_number,
+            deadline: shape.deadline,
+        };
+        let patience = shape.deadline + shape.patience;
+        let tally = tally.clone();
+        asked.push(match rest {
+            Some(rest) => {
+                let client = client.clone();
+                tokio::spawn(async move {
+                    let from = Instant::now();
+                    let answer = tokio::time::timeout(patience, by_rest(&client, rest, &ask)).await;
+                    let (end, told) = answer.unwrap_or((End::Unanswered, false));
+                    with(&tally, |t| t.book(end, from.elapsed(), told));
+                })
+            }
+            None => {
+                let link = links[number as usize % OWNERS].clone();
+                tokio::spawn(async move {
+                    let from = Instant::now();
+                    let answer = tokio::time::timeout(patience, link.ask(number + 1, &ask)).await;
+                    let (end, told) = answer.unwrap_or((End::Unanswered, false));
+                    with(&tally, |t| t.book(end, from.elapsed(), told));
+                })
+            }
+        });
+    }
+    for task in asked {
+        let _ = task.await;
+    }
+    Ok(with(&tally, |t| t.clone()))
+}
+
+struct Ask {
+    class: &'static str,
+    key: Option<String>,
+    service: String,
+    /// The platform's front names services by numbers.
+    service_number: usize,
+    deadline: Duration,
+}
+
+async fn by_rest(client: &Client<HttpConnector, Full<Bytes>>, to: SocketAddr, ask: &Ask) -> (End, bool) {
+    let body = json!({"class": ask.class, "service": ask.service, "cores": 0.25, "memory": 0.5,
+        "deadlineMs": ask.deadline.as_millis() as u64, "description": "POST /run"});
+    let mut request = hyper::Request::post(format!("http://{to}/v1/jobs"));
+    if let Some(key) = &ask.key {
+        request = request.header("idempotency-key", key);
+    }
+    let Ok(request) = request.body(Full::new(Bytes::from(body.to_string()))) else {
+        return (End::Unanswered, false);
+    };
+    let Ok(response) = client.request(request).await else { return (End::Unanswered, false) };
+    let status = response.status().as_u16();
+    let Ok(body) = response.into_body().collect().await else { return (End::Unanswered, false) };
+    let Ok(said) = serde_json::from_slice::<Value>(&body.to_bytes()) else { return (End::Unanswered, false) };
+    let told = said["retryAfterMs"].as_u64().is_some_and(|ms| ms > 0);
+    let limited = said["type"].as_str().is_some_and(|t| t.ends_with(":limited"));
+    let end = match status {
+        // What was placed and is over by the time that it is looked at was placed all the same.
+        200 | 201 | 409 => End::Placed,
+        429 if limited => End::TurnedAway,
+        429 | 504 => End::Refused,
+        503 => End::TurnedAway,
+        502 => End::Failed,
+        _ => End::Unanswered,
+    };
+    (end, told)
+}
+
+type Waiting = Arc<Mutex<BTreeMap<u64, oneshot::Sender<(End, bool)>>>>;
+
+/// A connection to the platform's front that many asks share.
+struct Owner {
+    write: tokio::sync::Mutex<OwnedWriteHalf>,
+    waiting: Waiting,
+}
+
+fn parameter(code: u8, value: &str) -> Vec<u8> {
+    [&[code][..], &(value.len() as u16).to_be_bytes(), value.as_bytes()].concat()
+}
+
+impl Owner {
+    async fn connect(to: SocketAddr, tally: Shared) -> io::Result<Arc<Owner>> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        let (read, write) = stream.into_split();
+        let waiting: Waiting = Arc::default();
+        tokio::spawn(hear(read, waiting.clone(), tally));
+        Ok(Arc::new(Owner { write: tokio::sync::Mutex::new(write), waiting }))
+    }
+
+    async fn ask(&self, id: u64, ask: &Ask) -> (End, bool) {
+        let service = format!("{:016x}", ask.service_number);
+        let key = ask.key.as_ref().map(|key| parameter(16, key)).unwrap_or_default();
+        let message = [
+            vec![1],
+            id.to_be_bytes().to_vec(),
+            parameter(3, ask.class),
+            parameter(4, &ask.deadline.as_millis().to_string()),
+            parameter(7, &format!("{id:016x}")),
+            key,
+            parameter(8, &format!("cores:0.25;memory:0.5;service:{service}")),
+            parameter(18, "POST /run"),
+        ]
+        .concat();
+        let (told, answer) = oneshot::channel();
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).insert(id, told);
+        let bytes = [&(message.len() as u16).to_be_bytes()[..], &message].concat();
+        if self.write.lock().await.write_all(&bytes).await.is_err() {
+            return (End::Unanswered, false);
+        }
+        answer.await.unwrap_or((End::Unanswered, false))
+    }
+}
+
+/// Takes answers in: a set-up has exactly one, and a task that stood then has a release.
+async fn hear(mut read: OwnedReadHalf, waiting: Waiting, tally: Shared) {
+    let mut placed = std::collections::BTreeSet::new();
+    loop {
+        let Ok(length) = read.read_u16().await else { break };
+        let mut message = vec![0; usize::from(length)];
+        if read.read_exact(&mut message).await.is_err() || message.len() < 9 {
+            break;
+        }
+        let mut id = [0; 8];
+        id.copy_from_slice(&message[1..9]);
+        let id = u64::from_be_bytes(id);
+        let find = |wanted: u8| {
+            let mut rest = &message[9..];
+            while let [code, high, low, after @ ..] = rest {
+                let size = usize::from(u16::from_be_bytes([*high, *low])).min(after.len());
+                if *code == wanted {
+                    return Some(after[..size].to_vec());
+                }
+                rest = &after[size..];
+            }
+            None
+        };
+        let waits = waiting.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+        match (message[0], waits) {
+            (9, Some(waits)) => {
+                placed.insert(id);
+                let _ = waits.send((End::Placed, false));
+            }
+            (12, Some(waits)) => {
+                let end = match find(17).and_then(|cause| cause.first().copied()) {
+                    Some(34 | 102) => End::Refused,
+                    Some(42) => End::TurnedAway,
+                    _ => End::Failed,
+                };
+                let away = find(9).and_then(|ms| String::from_utf8(ms).ok()?.parse::<u64>().ok());
+                let _ = waits.send((end, away.is_some_and(|ms| ms > 0)));
+            }
+            // The release of what stood, once.
+            (12, None) if placed.remove(&id) => {}
+            (9 | 12, None) => with(&tally, |t| t.twice += 1),
+            _ => {}
+        }
+    }
+    // Nobody answers any more: whoever waits hears of it.
+    waiting.lock().unwrap_or_else(PoisonError::into_inner).clear();
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,182 @@
+//! The laboratory's command line.
+
+use burlhook_lab::load::End;
+use burlhook_lab::node::{Node, Plan};
+use burlhook_lab::planner::Program;
+use burlhook_lab::rigs::{brownout, demo, reload};
+use burlhook_lab::Clock;
+use clap::{Parser, Subcommand};
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-in nodes, load and rigs for burlhook.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// A planner and five nodes on free ports, a short mix, and what became of each job. It ends by itself.
+    Demo,
+    /// One stand-in node, until it is ended.
+    Node {
+        /// Where it listens, on loopback.
+        #[arg(default_value = "127.0.0.1:7001")]
+        listen: String,
+        /// Share of asks that it refuses.
+        #[arg(long, default_value_t = 0.0)]
+        refuse: f64,
+        /// Seed of what is drawn.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Reloads under load; prints latency, memory and what the ledgers show.
+    Reload {
+        /// The planner's program; this one's own planner if absent.
+        #[arg(long)]
+        planner: Option<PathBuf>,
+        /// The operators' file is the older program's TOML: no limits, no reloads of it.
+        #[arg(long)]
+        older: bool,
+        /// Without limits in the file.
+        #[arg(long)]
+        plain: bool,
+        /// Milliseconds between reloads; 0 for none.
+        #[arg(long, default_value_t = 100)]
+        every_ms: u64,
+        /// Asks a second.
+        #[arg(long, default_value_t = 400.0)]
+        rate: f64,
+        /// Seconds.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// Seed of nodes and load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// A brown-out with and without a budget of further tries.
+    Brownout {
+        /// The planner's program; this one's own planner if absent.
+        #[arg(long)]
+        planner: Option<PathBuf>,
+        /// Further tries for each first one.
+        #[arg(long, default_value_t = 0.2)]
+        budget: f64,
+        /// Seeds, one run each.
+        #[arg(long, default_value_t = 3)]
+        seeds: u64,
+    },
+    /// The planner itself, as the rigs start it.
+    #[command(hide = true)]
+    Planner {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        operators: Option<PathBuf>,
+    },
+}
+
+fn program(path: Option<PathBuf>) -> io::Result<Program> {
+    match path {
+        Some(path) => Ok(Program::at(path)),
+        None => Ok(Program { words: vec!["planner".into()], ..Program::at(std::env::current_exe()?) }),
+    }
+}
+
+fn print_reload(report: &reload::Report) {
+    let reload::Report { tally, verdict, used, reloads, in_force } = report;
+    let ms = |h: &hdrhistogram::Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1e3;
+    println!("asked {} answered {} twice {}", tally.asked, tally.answered(), tally.twice);
+    for (end, count) in &tally.ends {
+        println!("  {end:?} {count}");
+    }
+    let (p, t) = (&tally.placed_us, &tally.turned_us);
+    println!("placed ms: p50 {:.1} p99 {:.1} max {:.1}", ms(p, 0.5), ms(p, 0.99), p.max() as f64 / 1e3);
+    println!("turned away ms: p50 {:.1} p99 {:.1}, told when {}", ms(t, 0.5), ms(t, 0.99), tally.told_when);
+    println!("planner: peak {} KiB, cpu {:.2} s", used.peak_kib, used.cpu_ticks as f64 / 100.0);
+    println!("reloads {reloads}, generation {}", in_force["generation"]);
+    println!("offers {} for {} jobs, most {} for one", verdict.asks, verdict.jobs, verdict.most_attempts);
+    println!("broken rules: {}", verdict.broken.len());
+    verdict.broken.iter().take(10).for_each(|b| println!("  {b}"));
+}
+
+fn run(command: Command) -> io::Result<bool> {
+    match command {
+        Command::Demo => Ok(demo::run(&program(None)?, &mut io::stdout())? == 0),
+        Command::Node { listen, refuse, seed } => {
+            let plan = Plan { name: listen.clone(), seed, refuse, ..Plan::default() };
+            let node = Node::start(&listen, plan, Clock::start())?;
+            println!("a stand-in node listens on {}", node.address());
+            let mut shown = 0;
+            loop {
+                std::thread::sleep(Duration::from_millis(200));
+                let ledger = node.ledger();
+                for entry in &ledger.entries[shown..] {
+                    println!("{:>9.3} {:016x} {:?}", entry.at.as_secs_f64(), entry.job, entry.what);
+                }
+                shown = ledger.entries.len();
+            }
+        }
+        Command::Reload { planner, older, plain, every_ms, rate, seconds, seed } => {
+            let mut program = program(planner)?;
+            let mut options =
+                reload::Options { rate, seed, span: Duration::from_secs(seconds), ..Default::default() };
+            options.every = (every_ms > 0).then(|| Duration::from_millis(every_ms));
+            if plain {
+                (options.limits, options.every) = (false, None);
+                options.rest = format!("{{ {} }}", options.rest);
+            }
+            if older {
+                program.operators_flag = "--rest".into();
+                (options.limits, options.every) = (false, None);
+                options.rest = "listen = \"127.0.0.1:0\"\nmax_open_jobs = 20000\n".into();
+            }
+            println!("seed {seed}");
+            let report = reload::run(&program, &options)?;
+            print_reload(&report);
+            Ok(report.verdict.broken.is_empty() && report.tally.count(End::Unanswered) == 0)
+        }
+        Command::Brownout { planner, budget, seeds } => {
+            let program = program(planner)?;
+            let mut well = true;
+            for seed in 1..=seeds {
+                for budget in [None, Some(budget)] {
+                    let report =
+                        brownout::run(&program, &brownout::Options { budget, seed, ..Default::default() })?;
+                    println!(
+                        "seed {seed} budget {budget:?}: offers {} ({} further), ran {}, placed {:.3} of all, \
+                         broken rules {}",
+                        report.asks,
+                        report.further,
+                        report.ran,
+                        report.placed(),
+                        report.verdict.broken.len()
+                    );
+                    well &= report.verdict.broken.is_empty();
+                }
+            }
+            Ok(well)
+        }
+        Command::Planner { config, operators } => {
+            burlhook::life::log();
+            burlhook::life::serve(Some(config), operators).map_err(io::Error::other)?;
+            Ok(true)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run(Arguments::parse().command) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("burlhook-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/planner.rs
@@ -0,0 +1,172 @@
+//! A planner as a process of its own: started with files of its own, reloaded, measured, and ended.
+
+use serde_json::{json, Value};
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// How a planner is started.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The program.
+    pub path: PathBuf,
+    /// What stands before `--config`: `serve` for the planner itself.
+    pub words: Vec<String>,
+    /// The flag that names the operators' file.
+    pub operators_flag: String,
+}
+
+impl Program {
+    /// The planner's own program.
+    pub fn at(path: impl AsRef<Path>) -> Program {
+        let (path, operators_flag) = (path.as_ref().to_path_buf(), "--operators".into());
+        Program { path, words: vec!["serve".into()], operators_flag }
+    }
+}
+
+/// A running planner; it is killed when it is dropped.
+pub struct Planner {
+    child: Child,
+    /// Where owners connect.
+    pub owners: SocketAddr,
+    /// Where its REST front listens, where it has one.
+    pub rest: Option<SocketAddr>,
+    config: PathBuf,
+    operators: Option<PathBuf>,
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Used {
+    /// Most memory that it held, in KiB.
+    pub peak_kib: u64,
+    /// CPU time of all its threads, in clock ticks of 10 ms.
+    pub cpu_ticks: u64,
+}
+
+fn scratch(name: &str) -> PathBuf {
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let number = COUNT.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("burlhook-lab-{}-{number}-{name}", std::process::id()))
+}
+
+/// A configuration with the settings of `classes`, and the nodes at these addresses, half of them in each hall.
+pub fn config(nodes: &[SocketAddr], seed: u64) -> Value {
+    let grade = |name: &str, effect: &str, importance: f64| {
+        json!({"name": name, "deadline_s": 8.0, "group": "all", "idempotency": effect, "importance": importance,
+            "late_share": 0.1, "on_time_s": 0.7, "repeat_window_s": 6.0})
+    };
+    let instance = |(at, address): (usize, &SocketAddr)| {
+        json!({"instanceId": format!("node-{at}"), "hostPort": address.to_string(),
+            "zone": if at % 2 == 0 { "hall-a" } else { "hall-b" }, "machineType": "std-48", "cell": at / 4,
+            "lifecycle": "in_service", "weight": 1, "startedAtMs": 0, "free": [40, 80]})
+    };
+    let instances: Vec<Value> = nodes.iter().enumerate().map(instance).collect();
+    json!({"name": "lab", "listen": "127.0.0.1:0", "seed": format!("{seed:x}"),
+        "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": instances}}]},
+        "settings": {"areas": ["hall-a", "hall-b"], "zone": "hall-a", "kinds": ["std-48"], "n_instances": 1,
+            "membership_mode": "push", "tick_s": 0.002,
+            "family_info": {"apart_by": ["silent", "silent"], "class_kind": [-1, -1], "cold_bears": 70,
+                "cores_multiple": 2, "free_by": "used", "mem_booking": 1.5, "memory_by_kind": [80],
+                "prompt_start_s": [8, 12], "says_yes": "running", "shows_free": true, "size_cores": [40],
+                "spread_most": [2, 2]},
+            "grades": [grade("stateless", "repeatable", 1.0), grade("keyed", "by_key", 5.0)],
+            "permissions": {"max_attempts": 4, "probes": true, "dial_timeout_s": 0.25},
+            "report": {"fields": ["x0", "x1", "pending"], "source": "piggyback"},
+            "rules": {"ask_every_s": 10, "fall_s": 2, "warm_within_s": 16}}})
+}
+
+impl Planner {
+    /// Starts a planner with a configuration and an operators' file.
+    ///
+    /// # Errors
+    /// If it cannot be started, or ends before it listens; its last words are the error's.
+    pub fn start(program: &Program, config: &Value, operators: Option<&str>) -> io::Result<Planner> {
+        let path = scratch("config.json");
+        std::fs::write(&path, config.to_string())?;
+        let mut command = Command::new(&program.path);
+        command.args(&program.words).arg("--config").arg(&path).stderr(Stdio::piped()).stdin(Stdio::null());
+        let file = operators.map(|text| (scratch("operators"), text));
+        if let Some((file, text)) = &file {
+            std::fs::write(file, text)?;
+            command.arg(&program.operators_flag).arg(file);
+        }
+        let mut child = command.spawn()?;
+        let mut log = BufReader::new(child.stderr.take().ok_or_else(|| io::Error::other("it has no log"))?);
+        let wants_rest = operators.is_some_and(|text| text.contains("listen"));
+        let (mut owners, mut rest, mut said) = (None, None, String::new());
+        while owners.is_none() || (wants_rest && rest.is_none()) {
+            let mut line = String::new();
+            if log.read_line(&mut line)? == 0 {
+                let _ = child.wait();
+                return Err(io::Error::other(format!("the planner ended: {}", said.trim_end())));
+            }
+            let address = line.trim().rsplit_once("address=").and_then(|(_, a)| a.parse().ok());
+            if line.contains("listening for REST") {
+                rest = address;
+            } else if line.contains("listening") {
+                owners = address;
+            }
+            said += &line;
+        }
+        // Its log is read to the end, so that it never waits for a reader.
+        std::thread::spawn(move || io::copy(&mut log, &mut io::sink()));
+        let owners = owners.ok_or_else(|| io::Error::other("it listens nowhere"))?;
+        Ok(Planner { child, owners, rest, config: path, operators: file.map(|(file, _)| file) })
+    }
+
+    /// Writes another operators' file and has it read.
+    ///
+    /// # Errors
+    /// If the file cannot be written or the signal not sent.
+    pub fn reload(&self, operators: &str) -> io::Result<()> {
+        let file =
+            self.operators.as_ref().ok_or_else(|| io::Error::other("it was started without such a file"))?;
+        std::fs::write(file, operators)?;
+        let status = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("the planner is gone"))
+        }
+    }
+
+    /// What it has used so far.
+    pub fn used(&self) -> Used {
+        let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id()));
+        let status = read("status").unwrap_or_default();
+        let peak =
+            status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
+        let stat = read("stat").unwrap_or_default();
+        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or_default().split(' ').collect();
+        let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<u64>().ok()).unwrap_or_default();
+        Used { peak_kib: peak.unwrap_or_default(), cpu_ticks: ticks(11) + ticks(12) }
+    }
+
+    /// Tells it to stop, and waits until it has.
+    ///
+    /// # Errors
+    /// If it does not end in time, or not well.
+    pub fn stop(mut self, patience: Duration) -> io::Result<()> {
+        Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status()?;
+        let until = std::time::Instant::now() + patience;
+        while std::time::Instant::now() < until {
+            match self.child.try_wait()? {
+                Some(status) if status.success() => return Ok(()),
+                Some(status) => return Err(io::Error::other(format!("it ended with {status}"))),
+                None => std::thread::sleep(Duration::from_millis(10)),
+            }
+        }
+        Err(io::Error::other("it does not end"))
+    }
+}
+
+impl Drop for Planner {
+    fn drop(&mut self) {
+        let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.config));
+        let _ = self.operators.as_ref().map(std::fs::remove_file);
+    }
+}
--- /dev/null
+++ b/lab/src/rigs/mod.rs
@@ -0,0 +1,14 @@
+//! Rigs: a planner, stand-in nodes and load, put together for one question each.
+
+pub mod brownout;
+pub mod demo;
+pub mod reload;
+
+use crate::node::{Node, Plan};
+use crate::Clock;
+use std::io;
+
+/// So many nodes, each with a plan of its own.
+pub(crate) fn nodes(count: usize, clock: Clock, plan: impl Fn(usize) -> Plan) -> io::Result<Vec<Node>> {
+    (0..count).map(|at| Node::start("127.0.0.1:0", plan(at), clock)).collect()
+}
--- a/src/life/cli.rs
+++ b/src/life/cli.rs
@@ -9,7 +9,6 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use tracing_subscriber::EnvFilter;
 
 /// Places tasks on shared machines.
 #[derive(Parser)]
@@ -216,8 +215,7 @@
 /// Reads the command line and does what it says.
 pub fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let filter = EnvFilter::try_from_env("BURLHOOK_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    super::log();
     let done = match arguments.command {
         Command::Serve { config, operators } => super::serve(config, operators).map_err(|e| e.to_string()),
         Command::Check { config, operators } => {
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
+use tracing_subscriber::EnvFilter;
 
 /// Clients keep coming for so long after SIGTERM; no sooner may the planner stop.
 const TAKES_ON: Duration = Duration::from_millis(900);
@@ -84,6 +85,12 @@
     }
 }
 
+/// Has log lines go to standard error; `BURLHOOK_LOG` says which.
+pub fn log() {
+    let filter = EnvFilter::try_from_env("BURLHOOK_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+}
+
 /// Runs a planner until it is told to stop.
 ///
 /// # Errors
--- a/tests/both_fronts.rs
+++ b/tests/both_fronts.rs
@@ -5,7 +5,6 @@
 use exchange::{stand_in, Planner, Wire};
 use serde_json::{json, Value};
 use std::process::Command;
-use std::sync::mpsc::Receiver;
 
 const LOG: &str = r#"10.0.0.1 - - [24/Dec/2025:08:00:00 +0100] "GET /run HTTP/1.1" 200 512
 10.0.0.1 - ann [24/Dec/2025:08:00:01 +0100] "POST /end HTTP/1.1" 201 20000 "-" "a \"quoted\" agent"
@@ -38,10 +37,6 @@
 /// What came of a job: how it ended, when its owner may come back, and the offers that the box saw.
 type Fate = (String, Option<u64>, usize);
 
-fn offers(launches: &Receiver<Value>) -> usize {
-    launches.try_iter().count()
-}
-
 fn parameter(code: u8, value: &str) -> Vec<u8> {
     [&[code][..], &(value.len() as u16).to_be_bytes(), value.as_bytes()].concat()
 }
@@ -96,7 +91,7 @@
             (false, Some(102)) => "deadline-passed",
             (false, _) => "failed",
         };
-        (words.to_string(), stay_away, offers(&launches))
+        (words.to_string(), stay_away, launches.offers())
     };
     (1..).zip(mix).map(fate).collect()
 }
@@ -124,7 +119,7 @@
                 }
             },
         };
-        (words, body["retryAfterMs"].as_u64(), offers(&launches))
+        (words, body["retryAfterMs"].as_u64(), launches.offers())
     };
     mix.iter().map(fate).collect()
 }
@@ -174,7 +169,7 @@
     assert_eq!(said, wanted);
     let told = String::from_utf8_lossy(&output.stderr);
     assert!(!output.status.success() && told.contains(".jsonl:9: "), "{told}");
-    let (there, here) = (offers(&launches), offers(&none_there));
+    let (there, here) = (launches.offers(), none_there.offers());
     assert_eq!((there + here, there > 0, here > 0), (8, true, true));
 }
 
@@ -202,7 +197,7 @@
         1,
         "one is new, the others joined it"
     );
-    assert_eq!(offers(&launches), 1);
+    assert_eq!(launches.offers(), 1);
 }
 
 #[test]
@@ -243,5 +238,5 @@
     drop(std::net::TcpStream::connect(url.trim_start_matches("http://")).expect("a connection"));
     assert_eq!(well.join().expect("no panic"), elsewhere.len());
     assert!(elsewhere.iter().all(|&key| ask(key).starts_with("503")));
-    assert_eq!(offers(&launches), 12 - elsewhere.len());
+    assert_eq!(launches.offers(), 12 - elsewhere.len());
 }
--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -7,6 +7,8 @@
 //! print stand as `\xNN`. In a transcript, ids that the program drew stand as `J1`…, times as `T`.
 #![allow(dead_code)]
 
+use burlhook_lab::node::{Node, Plan};
+use burlhook_lab::Clock;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -429,43 +431,23 @@
     transcript
 }
 
-/// A stand-in box that acts by the path in a task's description, and tells of every set-up that it gets.
-pub fn stand_in() -> (String, std::sync::mpsc::Receiver<Value>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a place to listen");
-    let address = listener.local_addr().expect("its address").to_string();
-    let (told, launches) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let told = told.clone();
-            std::thread::spawn(move || {
-                stream.set_nodelay(true).expect("no delay");
-                let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
-                let (mut stream, mut line) = (stream, String::new());
-                while reader.read_line(&mut line).is_ok_and(|count| count > 0) {
-                    let message: Value = serde_json::from_str(&line).expect("JSON");
-                    line.clear();
-                    if message["kind"] != "launch" {
-                        continue;
-                    }
-                    let _ = told.send(message.clone());
-                    let path = message["body"].as_str().and_then(|b| b.split(' ').nth(1)).unwrap_or_default();
-                    let running = json!({"kind": "running", "meta": {}, "body": "here"});
-                    let stop = |reason: u8| json!({"kind": "stop", "meta": {"note": "nq"}, "reason": reason});
-                    let says = match path {
-                        "/run" => vec![running],
-                        "/end" => vec![running, stop(16)],
-                        "/lose" => vec![running, stop(41)],
-                        "/full" => vec![stop(34)],
-                        "/error" => vec![stop(47)],
-                        _ => vec![],
-                    };
-                    for mut says in says {
-                        says["uid"] = message["uid"].clone();
-                        let _ = stream.write_all(format!("{says}\n").as_bytes());
-                    }
-                }
-            });
-        }
-    });
-    (address, launches)
+/// A stand-in node that acts by the path in a task's description, and books every set-up that it gets.
+pub struct Box_ {
+    node: Node,
+    seen: std::cell::Cell<usize>,
+}
+
+impl Box_ {
+    /// Set-ups since it was asked last.
+    pub fn offers(&self) -> usize {
+        let asks = self.node.ledger().asks();
+        asks - self.seen.replace(asks)
+    }
+}
+
+pub fn stand_in() -> (String, Box_) {
+    let forever = (3_600_000, 3_600_000);
+    let plan = Plan { by_path: true, life_ms: forever, ..Plan::default() };
+    let node = Node::start("127.0.0.1:0", plan, Clock::start()).expect("a place to listen");
+    (node.address().to_string(), Box_ { node, seen: Default::default() })
 }
--- /dev/null
+++ b/tests/reload.rs
@@ -0,0 +1,32 @@
+//! Reloads under load, against stand-in nodes that refuse, stall and reset.
+
+use burlhook_lab::load::End;
+use burlhook_lab::planner::Program;
+use burlhook_lab::rigs::reload::{run, Options};
+use std::time::Duration;
+
+/// Guards every task over reloads: 400 asks a second through both fronts, a reload every 100 ms with good and bad files
+/// by turns; exactly one final answer each, no two attempts together, none past its limits.
+#[test]
+fn every_task_is_accounted_for_over_reloads() {
+    let options = Options { span: Duration::from_secs(6), seed: 7, ..Options::default() };
+    let report = run(&Program::at(env!("CARGO_BIN_EXE_burlhook")), &options).expect("the rig runs");
+    let tally = &report.tally;
+    assert_eq!((tally.asked, tally.answered(), tally.twice), (2400, 2400, 0), "{:?}", tally.ends);
+    assert_eq!(report.verdict.broken, Vec::<String>::new());
+    assert!(
+        report.verdict.asks > 1000 && report.verdict.most_attempts >= 2,
+        "faults were met: {:?}",
+        report.verdict
+    );
+    // Whoever a limit turned away was told when to come back, and at once.
+    let turned = tally.count(End::TurnedAway);
+    assert!(turned > 0 && tally.told_when == turned, "{turned} turned away, {} told when", tally.told_when);
+    assert!(report.reloads > 20, "{} reloads", report.reloads);
+    let generation = report.in_force["generation"].as_u64().expect("a number");
+    assert!(
+        generation > 5 && generation < report.reloads,
+        "good files were taken, bad ones refused: {generation}"
+    );
+    assert!(report.in_force["lastRefusal"]["faults"][0].is_string(), "{}", report.in_force);
+}
