--- /dev/null
+++ b/benches/limits.rs
@@ -0,0 +1,128 @@
+//! The cost of finding a job's limits with 1, 100 and 10,000 routes, and of taking a job in and out of its gauges.
+//!
+//! `cargo bench --bench limits`
+
+use burlhook::decide::limits::{
+    Budget, Figures, Front, Limits, Matching, Model, Pattern, Rate, Route, Subject, Table,
+};
+use burlhook::{Class, Effect, Kind, Place, ReportSource, Room, Settings};
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use std::hint::black_box;
+use std::sync::Arc;
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        effect,
+        deadline_s: 8.0,
+        on_time_s: 1.0,
+        late_share: 0.1,
+        importance: 1.0,
+        prompt_start_s: 8.0,
+        spread: None,
+        kind: None,
+    };
+    Settings {
+        classes: vec![class(Effect::Repeatable), class(Effect::Keyed { group: Place::All, window_s: 6.0 })],
+        kinds: vec![Kind { size: Room { cores: 10.0, memory: 20.0 } }],
+        tenants: vec![],
+        zone: None,
+        placers: 1,
+        ask_for_list: false,
+        ask_every_s: 10.0,
+        list_shows_room: true,
+        cores_multiple: 1.0,
+        memory_multiple: 1.0,
+        confirms_running: false,
+        reports: ReportSource::Silent,
+        reports_used: false,
+        probes: true,
+        max_attempts: 4,
+        cold_bears: 10.0,
+        fall_s: 3.0,
+        warm_within_s: 18.0,
+        tick_s: 0.002,
+        over_share_worth: 0.1,
+        cross_zone_price: 0.0,
+    }
+}
+
+fn figures() -> Figures {
+    Figures {
+        in_flight: Some(1_000_000),
+        rate: Some(Rate { per_s: 1e6, burst: 1e6 }),
+        budget: Some(Budget { share: 0.2, floor: 3 }),
+        ..Figures::default()
+    }
+}
+
+/// A usual file: two in three routes name a service, the others a prefix; one in a hundred is a glob.
+fn model(routes: usize) -> Model {
+    let route = |at: usize| {
+        let service = match at {
+            at if at % 100 == 99 => format!("*-night-{at}"),
+            at if at % 3 == 2 => format!("team-{at}-*"),
+            at => format!("service-{at}"),
+        };
+        let matching = Matching {
+            front: at.is_multiple_of(4).then_some(Front::Rest),
+            class: at.is_multiple_of(2).then_some(1),
+            service: Pattern::new(&service),
+            zone: None,
+            cores: None,
+            memory: None,
+        };
+        Route { name: format!("r{at}").into(), matching, figures: figures() }
+    };
+    Model {
+        default: Figures::default(),
+        classes: vec![Figures::default(); 2],
+        routes: (0..routes).map(route).collect(),
+    }
+}
+
+fn resolving(c: &mut Criterion) {
+    let mut group = c.benchmark_group("resolve");
+    for routes in [1, 100, 10_000] {
+        let table = Table::new(model(routes), &settings(), None);
+        let last = routes - 1;
+        let cases = [
+            ("exact", format!("service-{}", last / 3 * 3)),
+            ("prefix", format!("team-{}-mail", last.saturating_sub(last % 3 + 1))),
+            ("none", "nobody-names-it".to_string()),
+        ];
+        for (name, service) in cases {
+            let room = Room { cores: 1.0, memory: 2.0 };
+            let subject = Subject { front: Front::Rest, class: 1, service: &service, room };
+            group.bench_with_input(BenchmarkId::new(name, routes), &subject, |b, subject| {
+                b.iter(|| black_box(table.resolve(black_box(subject))));
+            });
+        }
+    }
+    group.finish();
+}
+
+fn gauges(c: &mut Criterion) {
+    let settings = settings();
+    let mut limits = Limits::new(&settings, vec!["stateless".into(), "keyed".into()]);
+    limits.swap(Arc::new(Table::new(model(100), &settings, None)));
+    let room = Room { cores: 1.0, memory: 2.0 };
+    let subject = Subject { front: Front::Rest, class: 1, service: "service-0", room };
+    let mut now = 1e9;
+    c.bench_function("take in, first try, answer", |b| {
+        b.iter(|| {
+            now += 1e-3;
+            let of = limits.resolve(&subject).expect("limits");
+            if let Ok(Some(ticket)) = limits.admit(now, &of) {
+                limits.first_try(now, &ticket);
+                limits.over(now + 0.1, ticket);
+            }
+        });
+    });
+    c.bench_function("compile 10,000 routes", |b| {
+        let model = model(10_000);
+        b.iter(|| Table::new(model.clone(), &settings, None));
+    });
+}
+
+criterion_group!(benches, resolving, gauges);
+criterion_main!(benches);
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -267,8 +267,7 @@
 /// Takes answers in: a set-up has exactly one, and a task that stood then has a release.
 async fn hear(mut read: OwnedReadHalf, waiting: Waiting, tally: Shared) {
     let mut placed = std::collections::BTreeSet::new();
-    loop {
-        let Ok(length) = read.read_u16().await else { break };
+    while let Ok(length) = read.read_u16().await {
         let mut message = vec![0; usize::from(length)];
         if read.read_exact(&mut message).await.is_err() || message.len() < 9 {
             break;
