--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -85,7 +85,7 @@
                         close(open.remove(&of), at, true, &mut attempts, of.0);
                     }
                 }
-                What::Dropped | What::RunsUntold | What::Ended => {}
+                What::Dropped | What::RunsUntold | What::Ended | What::Cut => {}
             }
         }
         for ((job, _), attempt) in open {
@@ -141,6 +141,114 @@
     }
 }
 
+/// How groups stood, by the ledgers alone.
+#[derive(Clone, Debug, Default)]
+pub struct GroupVerdict {
+    /// Groups of which a member ran.
+    pub groups: usize,
+    /// How long each stood in part, every time that it did.
+    pub partial: Vec<Duration>,
+    /// Members of which two copies ran together.
+    pub doubled: Vec<Broken>,
+}
+
+/// Looks how groups stood: `of` gives the group, the member and the number of members from a description. A copy counts
+/// as gone once the order to cut it has come to its node, also where that does nothing for a while: it is unreachable
+/// then, and no planner can do more.
+pub fn groups(
+    ledgers: &[Ledger],
+    of: impl Fn(&str) -> Option<(u64, usize, usize)>,
+    slack: Duration,
+) -> GroupVerdict {
+    struct Copy {
+        member: usize,
+        from: Duration,
+        until: Duration,
+    }
+    let mut all: BTreeMap<u64, (usize, Vec<Copy>)> = BTreeMap::new();
+    for ledger in ledgers {
+        let mut places: BTreeMap<u64, (u64, usize, usize)> = BTreeMap::new();
+        let mut running: BTreeMap<u64, Duration> = BTreeMap::new();
+        let mut told: BTreeMap<u64, Duration> = BTreeMap::new();
+        let mut done =
+            |job: u64, from: Duration, until: Duration, places: &BTreeMap<u64, (u64, usize, usize)>| {
+                if let Some(&(group, member, members)) = places.get(&job) {
+                    let entry = all.entry(group).or_insert_with(|| (members, Vec::new()));
+                    entry.1.push(Copy { member, from, until });
+                }
+            };
+        for entry in &ledger.entries {
+            match &entry.what {
+                What::Ask { body, .. } => {
+                    if let Some(place) = of(body) {
+                        places.insert(entry.job, place);
+                    }
+                    told.remove(&entry.job);
+                }
+                What::Runs | What::RunsUntold => {
+                    running.insert(entry.job, entry.at);
+                    if let Some(at) = told.get(&entry.job) {
+                        running.remove(&entry.job);
+                        done(entry.job, entry.at, entry.at.max(*at), &places);
+                    }
+                }
+                What::Stopped | What::Ended | What::Lost | What::Cut => {
+                    if let Some(from) = running.remove(&entry.job) {
+                        done(entry.job, from, entry.at, &places);
+                    }
+                    if entry.what == What::Stopped {
+                        told.insert(entry.job, entry.at);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let end = ledger.entries.last().map_or(Duration::ZERO, |e| e.at);
+        for (job, from) in running {
+            done(job, from, end, &places);
+        }
+    }
+    let mut verdict = GroupVerdict { groups: all.len(), ..GroupVerdict::default() };
+    for (group, (members, mut copies)) in all {
+        copies.sort_by_key(|c| c.from);
+        let mut last: BTreeMap<usize, Duration> = BTreeMap::new();
+        for copy in &copies {
+            if last.get(&copy.member).is_some_and(|until| *until > copy.from + slack) {
+                verdict.doubled.push(format!("group {group}: two copies of member {}", copy.member));
+            }
+            let until = last.entry(copy.member).or_default();
+            *until = (*until).max(copy.until);
+        }
+        // Every change of what runs, in order; ends before starts at the same time.
+        let mut changes: Vec<(Duration, bool, usize)> = Vec::new();
+        for copy in &copies {
+            changes.extend([(copy.from, true, copy.member), (copy.until, false, copy.member)]);
+        }
+        changes.sort_by_key(|&(at, starts, _)| (at, starts));
+        let mut runs: BTreeMap<usize, u32> = BTreeMap::new();
+        let (mut since, mut whole) = (None, false);
+        for (at, starts, member) in changes {
+            match starts {
+                true => *runs.entry(member).or_default() += 1,
+                false => {
+                    let left = runs.get(&member).copied().unwrap_or_default().saturating_sub(1);
+                    runs.insert(member, left);
+                    runs.retain(|_, count| *count > 0);
+                }
+            }
+            // Once it stood whole, members end as their lives do.
+            whole = (whole && !runs.is_empty()) || runs.len() == members;
+            if since.is_none() && !runs.is_empty() && !whole {
+                since = Some(at);
+            }
+            if runs.is_empty() || whole {
+                verdict.partial.extend(since.take().map(|from: Duration| at - from));
+            }
+        }
+    }
+    verdict
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -157,7 +265,43 @@
     }
 
     fn ask(left_ms: u64) -> What {
-        What::Ask { class: "keyed".into(), key: Some("k".into()), left_ms }
+        What::Ask { class: "keyed".into(), key: Some("k".into()), left_ms, body: String::new() }
+    }
+
+    /// Guards the auditor of groups: partial times are counted from the first start to the whole or the last cut.
+    #[test]
+    fn partial_times_are_counted() {
+        let of = |body: &str| {
+            let mut parts = body.split(' ').map(|p| p.parse::<usize>().unwrap_or_default());
+            Some((parts.next()? as u64, parts.next()?, parts.next()?))
+        };
+        let ask = |body: &str| What::Ask { class: "c".into(), key: None, left_ms: 900, body: body.into() };
+        let whole = [
+            ledger(&[(0, 1, ask("7 0 2")), (10, 1, What::Runs), (900, 1, What::Ended)]),
+            ledger(&[(0, 2, ask("7 1 2")), (60, 2, What::Runs), (2000, 2, What::Ended)]),
+        ];
+        let verdict = groups(&whole, of, Duration::from_millis(50));
+        assert_eq!((verdict.groups, verdict.partial), (1, vec![Duration::from_millis(50)]));
+        let cut = [
+            ledger(&[
+                (0, 1, ask("7 0 2")),
+                (10, 1, What::Runs),
+                (1500, 1, What::Stopped),
+                (1900, 1, What::Cut),
+            ]),
+            ledger(&[(0, 2, ask("7 1 2")), (60, 2, What::Refused)]),
+        ];
+        assert_eq!(groups(&cut, of, Duration::ZERO).partial, [Duration::from_millis(1490)]);
+        let twice = [
+            ledger(&[(0, 1, ask("7 0 2")), (10, 1, What::Runs)]),
+            ledger(&[(0, 2, ask("7 0 2")), (60, 2, What::Runs), (900, 2, What::Ended)]),
+        ];
+        assert_eq!(groups(&twice[..], of, Duration::ZERO).doubled.len(), 0, "the first ends with its ledger");
+        let over = [
+            ledger(&[(0, 1, ask("7 0 2")), (10, 1, What::Runs), (500, 1, What::Ended)]),
+            ledger(&[(0, 2, ask("7 0 2")), (60, 2, What::Runs), (900, 2, What::Ended)]),
+        ];
+        assert_eq!(groups(&over, of, Duration::ZERO).doubled.len(), 1);
     }
 
     /// Guards the auditor itself: what breaks a rule is seen, and what keeps it is not called broken.
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -41,6 +41,8 @@
     pub services: Vec<String>,
     /// Seed of the mix.
     pub seed: u64,
+    /// Cores and memory that each asks for.
+    pub room: (f64, f64),
     /// Beyond the deadline, so long an answer is waited for.
     pub patience: Duration,
 }
@@ -135,7 +137,7 @@
     for _ in 0..OWNERS {
         links.push(Owner::connect(owners, tally.clone()).await?);
     }
-    let client: Client<HttpConnector, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let client = client();
     let mut rng = Pcg64Mcg::seed_from_u64(shape.seed);
     let started = tokio::time::Instant::now();
     let count = (shape.rate * shape.span.as_secs_f64()) as u64;
@@ -150,6 +152,7 @@
             key: keyed.then(|| format!("{:016x}{number:016x}", shape.seed)),
             service: shape.services[service_number].clone(),
             service_number,
+            room: shape.room,
             deadline: shape.deadline,
         };
         let patience = shape.deadline + shape.patience;
@@ -187,23 +190,43 @@
     service: String,
     /// The platform's front names services by numbers.
     service_number: usize,
+    room: (f64, f64),
     deadline: Duration,
 }
 
-async fn by_rest(client: &Client<HttpConnector, Full<Bytes>>, to: SocketAddr, ask: &Ask) -> (End, bool) {
-    let body = json!({"class": ask.class, "service": ask.service, "cores": 0.25, "memory": 0.5,
-        "deadlineMs": ask.deadline.as_millis() as u64, "description": "POST /run"});
-    let mut request = hyper::Request::post(format!("http://{to}/v1/jobs"));
-    if let Some(key) = &ask.key {
+/// A client of the REST front.
+pub type RestClient = Client<HttpConnector, Full<Bytes>>;
+
+/// One request to the REST front: status and body, where both came whole.
+pub async fn call(
+    client: &RestClient,
+    method: &str,
+    to: SocketAddr,
+    path: &str,
+    key: Option<&str>,
+    body: &Value,
+) -> Option<(u16, Value)> {
+    let mut request = hyper::Request::builder().method(method).uri(format!("http://{to}{path}"));
+    if let Some(key) = key {
         request = request.header("idempotency-key", key);
     }
-    let Ok(request) = request.body(Full::new(Bytes::from(body.to_string()))) else {
-        return (End::Unanswered, false);
-    };
-    let Ok(response) = client.request(request).await else { return (End::Unanswered, false) };
+    let request = request.body(Full::new(Bytes::from(body.to_string()))).ok()?;
+    let response = client.request(request).await.ok()?;
     let status = response.status().as_u16();
-    let Ok(body) = response.into_body().collect().await else { return (End::Unanswered, false) };
-    let Ok(said) = serde_json::from_slice::<Value>(&body.to_bytes()) else { return (End::Unanswered, false) };
+    let body = response.into_body().collect().await.ok()?;
+    Some((status, serde_json::from_slice(&body.to_bytes()).ok()?))
+}
+
+/// A client of its own.
+pub fn client() -> RestClient {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+async fn by_rest(client: &RestClient, to: SocketAddr, ask: &Ask) -> (End, bool) {
+    let body = json!({"class": ask.class, "service": ask.service, "cores": ask.room.0, "memory": ask.room.1,
+        "deadlineMs": ask.deadline.as_millis() as u64, "description": "POST /run"});
+    let said = call(client, "POST", to, "/v1/jobs", ask.key.as_deref(), &body).await;
+    let Some((status, said)) = said else { return (End::Unanswered, false) };
     let told = said["retryAfterMs"].as_u64().is_some_and(|ms| ms > 0);
     let limited = said["type"].as_str().is_some_and(|t| t.ends_with(":limited"));
     let end = match status {
@@ -250,7 +273,7 @@
             parameter(4, &ask.deadline.as_millis().to_string()),
             parameter(7, &format!("{id:016x}")),
             key,
-            parameter(8, &format!("cores:0.25;memory:0.5;service:{service}")),
+            parameter(8, &format!("cores:{};memory:{};service:{service}", ask.room.0, ask.room.1)),
             parameter(18, "POST /run"),
         ]
         .concat();
--- a/lab/src/node/connection.rs
+++ b/lab/src/node/connection.rs
@@ -105,7 +105,8 @@
     let what = match message["kind"].as_str() {
         Some("launch") => {
             let Ask { class, key, .. } = ask(id, message);
-            What::Ask { class, key, left_ms: left.unwrap_or_default() }
+            let body = message["body"].as_str().unwrap_or_default().trim_end().to_string();
+            What::Ask { class, key, left_ms: left.unwrap_or_default(), body }
         }
         Some("stop") => What::Stopped,
         _ => return,
@@ -145,7 +146,11 @@
             }
         }
         Some("stop") => {
-            let reason = if shared.lock().stop(job).is_some() { 31 } else { 102 };
+            let held = shared.lock().stop(job);
+            if held == Some(true) {
+                shared.lock().ledger.book(now, job, id, What::Cut);
+            }
+            let reason = if held.is_some() { 31 } else { 102 };
             say(stopped(reason, None));
         }
         Some("check") => {
--- a/lab/src/node/ledger.rs
+++ b/lab/src/node/ledger.rs
@@ -16,6 +16,8 @@
         key: Option<String>,
         /// Milliseconds that the planner will wait.
         left_ms: u64,
+        /// The description.
+        body: String,
     },
     /// It was refused.
     Refused,
@@ -29,6 +31,8 @@
     RunsUntold,
     /// The planner took back what had not run, or told to cut what ran.
     Stopped,
+    /// A copy that ran was cut by the planner's order.
+    Cut,
     /// The task came to its end.
     Ended,
     /// Its connection is closed.
--- a/lab/src/rigs/brownout.rs
+++ b/lab/src/rigs/brownout.rs
@@ -87,6 +87,7 @@
         deadline: Duration::from_secs(5),
         services: (0..8).map(|n| format!("search-{n}")).collect(),
         seed: options.seed,
+        room: (0.25, 0.5),
         patience: Duration::from_secs(3),
     };
     let (tally, from, until) = std::thread::scope(|scope| -> io::Result<(Tally, Duration, Duration)> {
--- /dev/null
+++ b/lab/src/rigs/groups.rs
@@ -0,0 +1,256 @@
+//! Groups beside ordinary load, on nodes that refuse, stall, reset, hang and drain at random. Partial times, doubled
+//! members and attempts are counted from the nodes' ledgers, never from what the planner says.
+
+use super::nodes;
+use crate::audit::{audit, groups, Allowed, GroupVerdict, Verdict};
+use crate::load::{self, call, Shape, Tally};
+use crate::node::{Act, Node, Plan};
+use crate::planner::{config, Planner, Program, Used};
+use crate::Clock;
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// Tasks of the rig's size that a node holds; the planner knows of as many.
+const SLOTS: usize = 40;
+
+/// What the rig does.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Groups a second.
+    pub groups: f64,
+    /// Members, least and most.
+    pub members: (usize, usize),
+    /// For how long.
+    pub span: Duration,
+    /// Share of the fleet that ordinary load takes.
+    pub load: f64,
+    /// Each member on its own, all cut by hand where one fails: what groups are measured against.
+    pub naive: bool,
+    /// Whether nodes fail.
+    pub faults: bool,
+    /// Seed of nodes, load and groups.
+    pub seed: u64,
+    /// Nodes.
+    pub nodes: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            groups: 4.0,
+            members: (2, 32),
+            span: Duration::from_secs(20),
+            load: 0.3,
+            naive: false,
+            faults: true,
+            seed: 1,
+            nodes: 12,
+        }
+    }
+}
+
+/// What came of it.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Groups asked for.
+    pub asked: usize,
+    /// Answers by status; 0 where none came.
+    pub answers: BTreeMap<u16, usize>,
+    /// Groups by the ledgers.
+    pub groups: GroupVerdict,
+    /// Milliseconds in which groups stood in part.
+    pub partial_ms: Histogram<u64>,
+    /// Partial times over a second.
+    pub over: usize,
+    /// Attempts by the ledgers.
+    pub verdict: Verdict,
+    /// Ordinary load beside them.
+    pub tally: Tally,
+    /// What the planner used.
+    pub used: Used,
+}
+
+impl Report {
+    /// Share of groups that were placed whole.
+    pub fn placed(&self) -> f64 {
+        let placed = [200, 201].iter().filter_map(|s| self.answers.get(s)).sum::<usize>();
+        placed as f64 / self.asked.max(1) as f64
+    }
+}
+
+const FILE: &str = "{
+  rest: { listen: \"127.0.0.1:0\", maxOpenJobs: 20000, maxConnections: 4000, maxBodyBytes: 100000 },
+  groups: { default: { partialMs: 1000, share: 0.6 } },
+}";
+
+/// What befalls the nodes: at any time one of them stalls, is reset, hangs and goes on, or drains and opens again.
+fn befall(nodes: &[Node], seed: u64, done: &AtomicBool) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xfa);
+    let mut later: Vec<(u32, usize, Act)> = Vec::new();
+    let mut turn = 0;
+    while !done.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(50));
+        turn += 1;
+        later.retain(|&(due, at, act)| {
+            if due == turn {
+                nodes[at].act(act);
+            }
+            due > turn
+        });
+        // A fault every 400 ms or so; never more than a third of the nodes hang or drain.
+        if !rng.gen_bool(0.125) {
+            continue;
+        }
+        let at = rng.gen_range(0..nodes.len());
+        let busy = later.iter().any(|(_, other, _)| *other == at) || later.len() * 3 >= nodes.len();
+        match rng.gen_range(0..4) {
+            0 => nodes[at].act(Act::Pause(Duration::from_millis(rng.gen_range(100..800)))),
+            1 => nodes[at].act(Act::Reset),
+            2 if !busy => {
+                nodes[at].act(Act::Hang);
+                later.push((turn + rng.gen_range(10..60), at, Act::Wake));
+            }
+            3 if !busy => {
+                nodes[at].act(Act::Drain);
+                later.push((turn + rng.gen_range(10..40), at, Act::Open));
+            }
+            _ => {}
+        }
+    }
+    nodes.iter().for_each(|node| node.act(Act::Wake));
+}
+
+fn member(group: usize, at: usize, of: usize, keyed: bool) -> Value {
+    json!({"class": if keyed { "keyed" } else { "stateless" }, "service": format!("pipeline-{}", at % 4), "cores": 2.0,
+        "memory": 3.0, "description": format!("POST /pipeline/{group}/{at}/{of}")})
+}
+
+/// Group, member and number of members from a member's description.
+fn place(body: &str) -> Option<(u64, usize, usize)> {
+    let mut parts = body.strip_prefix("POST /pipeline/")?.split('/');
+    Some((parts.next()?.parse().ok()?, parts.next()?.parse().ok()?, parts.next()?.parse().ok()?))
+}
+
+/// Each member on its own: where one is not placed, all others are ended by hand.
+async fn naively(client: &load::RestClient, rest: SocketAddr, members: Vec<Value>, key: &str) -> u16 {
+    let asks = members.into_iter().enumerate().map(|(at, mut member)| {
+        let (client, key) = (client.clone(), format!("{key}/{at}"));
+        tokio::spawn(async move {
+            member["deadlineMs"] = json!(5000);
+            let key = (member["class"] == "keyed").then_some(key);
+            call(&client, "POST", rest, "/v1/jobs", key.as_deref(), &member).await
+        })
+    });
+    let asks: Vec<_> = asks.collect();
+    let (mut placed, mut status) = (Vec::new(), 201);
+    for ask in asks {
+        match ask.await.ok().flatten() {
+            Some((201, job)) => placed.extend(job["id"].as_str().map(str::to_string)),
+            other => status = other.map_or(0, |(status, _)| status),
+        }
+    }
+    if status != 201 {
+        for job in placed {
+            call(client, "DELETE", rest, &format!("/v1/jobs/{job}"), None, &Value::Null).await;
+        }
+    }
+    status
+}
+
+async fn ask_all(options: &Options, rest: SocketAddr) -> BTreeMap<u16, usize> {
+    let client = load::client();
+    let mut rng = Pcg64Mcg::seed_from_u64(options.seed ^ 0x96);
+    let started = tokio::time::Instant::now();
+    let count = (options.groups * options.span.as_secs_f64()) as usize;
+    let mut asked = Vec::with_capacity(count);
+    for group in 0..count {
+        tokio::time::sleep_until(started + Duration::from_secs_f64(group as f64 / options.groups)).await;
+        let members = rng.gen_range(options.members.0..=options.members.1);
+        let members: Vec<Value> =
+            (0..members).map(|at| member(group, at, members, rng.gen_bool(0.3))).collect();
+        let (client, naive, key) = (client.clone(), options.naive, format!("{}-{group}", options.seed));
+        asked.push(tokio::spawn(async move {
+            if naive {
+                return naively(&client, rest, members, &key).await;
+            }
+            let body = json!({"members": members, "deadlineMs": 5000, "onLoss": "cut"});
+            let patience = Duration::from_secs(10);
+            let said =
+                tokio::time::timeout(patience, call(&client, "POST", rest, "/v1/groups", Some(&key), &body));
+            said.await.ok().flatten().map_or(0, |(status, _)| status)
+        }));
+    }
+    let mut answers = BTreeMap::new();
+    for ask in asked {
+        *answers.entry(ask.await.unwrap_or(0)).or_default() += 1;
+    }
+    answers
+}
+
+/// Runs it.
+///
+/// # Errors
+/// If a part of it cannot be started or reached.
+pub fn run(program: &Program, options: &Options) -> io::Result<Report> {
+    let clock = Clock::start();
+    let faults = f64::from(u8::from(options.faults));
+    let plan = |at: usize| Plan {
+        name: format!("node-{at}"),
+        seed: options.seed.wrapping_mul(1000).wrapping_add(at as u64),
+        slots: SLOTS,
+        starts: 16,
+        life_ms: (1500, 2500),
+        refuse: 0.01 * faults,
+        fail: 0.003 * faults,
+        ..Plan::default()
+    };
+    let nodes = nodes(options.nodes, clock, plan)?;
+    let addresses: Vec<SocketAddr> = nodes.iter().map(|n| n.address()).collect();
+    let planner = Planner::start(program, &config(&addresses, options.seed), Some(FILE))?;
+    let rest = planner.rest.ok_or_else(|| io::Error::other("no REST front"))?;
+    let ordinary = (options.load * (SLOTS * options.nodes) as f64 / 2.0).max(1.0);
+    let shape = Shape {
+        rate: ordinary,
+        span: options.span,
+        rest: 0.5,
+        keyed: 0.4,
+        deadline: Duration::from_secs(5),
+        services: (0..8).map(|n| format!("search-{n}")).collect(),
+        seed: options.seed,
+        room: (2.0, 3.0),
+        patience: Duration::from_secs(3),
+    };
+    let done = AtomicBool::new(false);
+    let (tally, answers) = std::thread::scope(|scope| -> io::Result<(Tally, BTreeMap<u16, usize>)> {
+        if options.faults {
+            scope.spawn(|| befall(&nodes, options.seed, &done));
+        }
+        let ordinary = scope.spawn(|| load::run(&shape, planner.owners, Some(rest)));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let answers = runtime.map(|runtime| runtime.block_on(ask_all(options, rest)));
+        let tally = ordinary.join();
+        done.store(true, Ordering::Relaxed);
+        let tally = tally.map_err(|_| io::Error::other("the load broke off"))??;
+        Ok((tally, answers?))
+    })?;
+    // What was told last is still on its way.
+    std::thread::sleep(Duration::from_millis(500));
+    let used = planner.used();
+    let ledgers: Vec<_> = nodes.iter().map(|n| n.ledger()).collect();
+    let slack = Duration::from_millis(50);
+    let verdict = audit(&ledgers, Allowed { attempts: 4, window: Duration::from_secs(6), slack });
+    let groups = groups(&ledgers, place, slack);
+    // The bounds are constants that the histogram takes.
+    let mut partial_ms = Histogram::new_with_bounds(1, 600_000, 3).unwrap_or_else(|_| unreachable!());
+    groups.partial.iter().for_each(|time| partial_ms.saturating_record(time.as_millis() as u64));
+    let over = groups.partial.iter().filter(|time| **time > Duration::from_secs(1)).count();
+    let asked = answers.values().sum();
+    Ok(Report { asked, answers, groups, partial_ms, over, verdict, tally, used })
+}
--- a/lab/src/rigs/mod.rs
+++ b/lab/src/rigs/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod brownout;
 pub mod demo;
+pub mod groups;
 pub mod reload;
 
 use crate::node::{Node, Plan};
--- a/src/decide/limits/file.rs
+++ b/src/decide/limits/file.rs
@@ -463,25 +463,10 @@
     item.one_of(&words)
 }
 
-/// A pair of numbers, the first not above the second.
-fn pair(item: &Item<'_>, most: f64, what: &str) -> Option<Span> {
-    let parts = item.list()?;
-    let [least, upper] = &parts[..] else {
-        item.fault(format!("has {} values; two are expected: {what}", parts.len()));
-        return None;
-    };
-    let (least, upper) = (least.within(0.0..=most, "")?, upper.within(0.0..=most, "")?);
-    if least > upper {
-        item.fault(format!("goes from {least} down to {upper}"));
-        return None;
-    }
-    Some((least, upper))
-}
-
 fn pause(item: &Item<'_>) -> Option<(Seconds, Seconds)> {
-    pair(item, MOST_MS, "least and most ms").map(|(least, most)| (least / 1e3, most / 1e3))
+    item.span_of(MOST_MS).map(|(least, most)| (least / 1e3, most / 1e3))
 }
 
 fn span(item: &Item<'_>) -> Option<Span> {
-    pair(item, MOST_COUNT, "least and most")
+    item.span_of(MOST_COUNT)
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,3 +1,4 @@
 //! What subsystems decide: a module each, pure, without I/O, clock or random source of its own.
 
+pub mod groups;
 pub mod limits;
--- a/src/document/read.rs
+++ b/src/document/read.rs
@@ -188,6 +188,21 @@
         self.positive(most_ms, " ms").map(|ms| ms / 1e3)
     }
 
+    /// As two numbers from 0 up to `most`, the first not above the second.
+    pub fn span_of(&self, most: f64) -> Option<(f64, f64)> {
+        let parts = self.list()?;
+        let [least, upper] = &parts[..] else {
+            self.fault(format!("has {} values; two are expected, least and most", parts.len()));
+            return None;
+        };
+        let (least, upper) = (least.within(0.0..=most, "")?, upper.within(0.0..=most, "")?);
+        if least > upper {
+            self.fault(format!("goes from {least} down to {upper}"));
+            return None;
+        }
+        Some((least, upper))
+    }
+
     /// As one of some words.
     pub fn one_of<T: Copy>(&self, words: &[(&str, T)]) -> Option<T> {
         let text = self.text()?;
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -143,6 +143,13 @@
     Core::new(settings, words, config.seed, keep).map_err(|e| ConfigError::Settings(e.to_string()))
 }
 
+/// Puts what an operators' file says in force for what comes from now on.
+fn take(hub: &Hub, operators: &Operators) {
+    let (table, digest) = (operators.limits.clone(), operators.digest.clone());
+    hub.apply(Input::Limits { table, digest });
+    hub.apply(Input::GroupSettings(operators.groups.clone()));
+}
+
 impl Life {
     fn enter(&mut self, phase: Phase) {
         tracing::info!(from = %self.phase, to = %phase, "phase");
@@ -204,8 +211,7 @@
                     told = new.told.join("; "),
                     "operators' file"
                 );
-                let (table, digest) = (new.limits.clone(), new.digest.clone());
-                hub.apply(Input::Limits { table, digest });
+                take(hub, &new);
                 // The front goes on as it was started; a change of its section is told until the restart.
                 self.operators = Some(Operators { rest: old.rest.clone(), ..new });
             }
@@ -221,8 +227,7 @@
             for told in &operators.told {
                 tracing::warn!("{told}");
             }
-            let (table, digest) = (operators.limits.clone(), operators.digest.clone());
-            hub.apply(Input::Limits { table, digest });
+            take(&hub, operators);
         }
         tokio::spawn(hub.clone().keep_time());
         tokio::spawn(platform::hold_links(hub.clone(), wanted, config.dial()));
@@ -250,6 +255,7 @@
         let since = Instant::now();
         self.enter(Phase::Draining { since });
         hub.lock().draining = true;
+        hub.apply(Input::Draining);
         let longest = {
             let inner = hub.lock();
             let deadlines = inner.core.settings().classes.iter().map(|c| c.deadline_s);
--- a/src/life/operators.rs
+++ b/src/life/operators.rs
@@ -1,6 +1,8 @@
 //! The operators' file: one JSON5 text, a section for each subsystem, read by the section's owner. A section that is
 //! absent is off. All faults of a file are told at once, and a file with one is not used at all.
 
+use crate::decide::groups;
+use crate::decide::groups::settings::GroupSettings;
 use crate::decide::limits::{self, Context, Table};
 use crate::document::{self, Faults, Item, Sink, Text};
 use crate::placer::Settings;
@@ -21,6 +23,8 @@
     pub rest: Option<Options>,
     /// The limits; empty where the section is absent.
     pub limits: Arc<Table>,
+    /// Groups, where they are on.
+    pub groups: Option<Arc<GroupSettings>>,
     /// What is worth a word and no fault.
     pub told: Vec<String>,
 }
@@ -38,13 +42,14 @@
     let root = document::parse(text)?;
     let sink = Sink::default();
     let mut told = Vec::new();
-    let (mut rest, mut model) = (None, limits::Model::default());
+    let (mut rest, mut groups, mut model) = (None, None, limits::Model::default());
     if let Some(section) = Item::root(&root, &sink).section() {
         rest = section.get("rest").and_then(|item| Options::read(&item));
         if let Some(item) = section.get("limits") {
             let context = Context { settings, classes: words.classes(), zones: words.zones() };
             (model, told) = limits::read(&item, context);
         }
+        groups = section.get("groups").and_then(|item| groups::settings::read(&item, words.classes()));
         section.close(|_| None);
     }
     if sink.count() > 0 {
@@ -53,5 +58,5 @@
     let zone = settings.zone.map(|zone| words.zone_name(zone));
     let limits = Arc::new(Table::new(model, settings, zone.as_deref()));
     let digest = Sha256::digest(text.text().as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect();
-    Ok(Operators { path: path.to_path_buf(), digest, rest, limits, told })
+    Ok(Operators { path: path.to_path_buf(), digest, rest, limits, groups: groups.map(Arc::new), told })
 }
--- a/src/placer/interface.rs
+++ b/src/placer/interface.rs
@@ -420,6 +420,23 @@
     pub report: Option<Report>,
 }
 
+/// What is left at a machine that takes work, as far as the placer knows.
+#[derive(Clone, Copy, Debug)]
+pub struct Space {
+    /// The machine.
+    pub machine: MachineId,
+    /// Room that is left of its limit.
+    pub left: Room,
+    /// Its size.
+    pub size: Room,
+    /// What it accepts in all.
+    pub limit: Room,
+    /// Its kind.
+    pub kind: Option<usize>,
+    /// Offers that it still bears.
+    pub offers: usize,
+}
+
 /// What the placer hears.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -162,3 +162,31 @@
     pub request: RequestId,
     pub room: Room,
 }
+
+/// How long bars are: the first and the longest in seconds and in own tasks, and the longest gap between own
+/// tasks that lengthens them, as a placer that rests must not bar for good.
+#[derive(Clone, Copy)]
+pub(crate) struct BarSpans {
+    pub first: (Seconds, f64),
+    pub most: (Seconds, f64),
+    pub gap_s: Seconds,
+}
+
+/// Bars a machine for longer with each failure in a row; those that come in one bar count as one.
+#[derive(Default)]
+pub(crate) struct Bar {
+    pub failures: u32,
+    pub until: Seconds,
+}
+
+impl Bar {
+    /// `gap` is the usual time between own tasks.
+    pub fn fail(&mut self, now: Seconds, gap: Seconds, spans: BarSpans) {
+        if now >= self.until {
+            let length = |(seconds, tasks): (Seconds, f64)| seconds.max(tasks * gap.min(spans.gap_s));
+            let first = length(spans.first) * f64::from(2u32.saturating_pow(self.failures));
+            self.failures = self.failures.saturating_add(1);
+            self.until = now + first.min(length(spans.most));
+        }
+    }
+}
--- a/src/placer/rules.rs
+++ b/src/placer/rules.rs
@@ -27,15 +27,11 @@
 const LAG_FIRST: [usize; 2] = [10, 2];
 /// Share. What each view leaves of the older evidence on delays; some thirty views count.
 const LAG_KEEP: f64 = 0.97;
-/// Seconds and own tasks. First bar of a machine that failed, the longer of the two; doubles with each
-/// failure in a row. With few own tasks a short bar would end before the next of them.
-const BAR_FIRST: (Seconds, f64) = (0.4, 2.0);
-/// Seconds and own tasks. Longest bar, so that a machine that came back is found soon.
-const BAR_MOST: (Seconds, f64) = (3.0, 15.0);
+/// First bar of a machine that failed and the longest one, so that one that came back is found soon: in
+/// seconds and own tasks, the longer of the two. With few own tasks a short bar would end before the next.
+const BAR: BarSpans = BarSpans { first: (0.4, 2.0), most: (3.0, 15.0), gap_s: 2.5 };
 /// Count. Other machines at which an ask must have ended in errors before it counts as at fault itself.
 const ERRS_ELSEWHERE: usize = 3;
-/// Seconds. Longest gap between own tasks that lengthens bars: a placer that rests must not bar for good.
-const BAR_GAP_S: Seconds = 2.5;
 /// Count. Own offers that may wait at one machine: it looks at them one by one and its line is short.
 const OFFERS_OUT: usize = 6;
 /// Share. What a machine that refused a task for want of room is taken to have free of what it asks.
@@ -90,25 +86,6 @@
 /// Room or seconds below which two figures are the same: sizes and clocks are rounded.
 const EPSILON: f64 = 1e-5;
 
-/// Bars a machine for longer with each failure in a row; those that come in one bar count as one.
-#[derive(Default)]
-struct Bar {
-    failures: u32,
-    until: Seconds,
-}
-
-impl Bar {
-    /// `gap` is the usual time between own tasks.
-    fn fail(&mut self, now: Seconds, gap: Seconds) {
-        if now >= self.until {
-            let length = |(seconds, tasks): (Seconds, f64)| seconds.max(tasks * gap.min(BAR_GAP_S));
-            let first = length(BAR_FIRST) * f64::from(2u32.saturating_pow(self.failures));
-            self.failures = self.failures.saturating_add(1);
-            self.until = now + first.min(length(BAR_MOST));
-        }
-    }
-}
-
 #[derive(Default)]
 struct Machine {
     zone: ZoneId,
@@ -542,7 +519,7 @@
         if outcome == Outcome::Ok {
             machine.silence = Bar::default();
         } else {
-            machine.silence.fail(now, gap);
+            machine.silence.fail(now, gap, BAR);
         }
         self.report(now, id, report);
     }
@@ -721,6 +698,21 @@
         room && now >= self.started_at + window
     }
 
+    /// What is left at each machine that takes work: room that nobody is known to have asked for, and the
+    /// offers that its line, or the part of a cold one, still bears.
+    pub fn spaces(&self, now: Seconds) -> Vec<Space> {
+        let space = |(&machine, m): (&MachineId, &Machine)| {
+            let left = m.limit - (m.view.unwrap_or_default() + m.counted).at_least(m.own);
+            let part = self.settings.cold_bears * COLD_SHARE / f64::from(self.settings.placers);
+            let offers = if m.cold(now, &self.settings) { part as usize } else { usize::MAX };
+            let (offers, size, limit, kind) =
+                (offers.saturating_sub(m.offers.len()), m.size, m.limit, m.kind);
+            Space { machine, left, size, limit, kind, offers }
+        };
+        let open = |(_, m): &(&MachineId, &Machine)| m.ready && m.known() && m.silence.failures == 0;
+        self.machines.iter().filter(open).map(space).collect()
+    }
+
     /// Where parts are below one offer, chance admits so many placers in a window that the sum stays under
     /// the budget by some standard deviations, also where two windows of theirs meet in one of the rule's.
     fn admitted(&self, windows: f64, key: MachineKey, budget: f64) -> bool {
@@ -874,7 +866,7 @@
             machine.silence.until = give_up_at;
         }
         if let Some(fault) = machine.faults.get_mut(&task.class) {
-            fault.fail(now, gap);
+            fault.fail(now, gap, BAR);
         }
         actions.push(Action::Bind { request: id, machine: at, give_up_at });
     }
@@ -913,7 +905,7 @@
         // have a full line, or drain untold. May pass over one for a short bar after one odd refusal.
         (Outcome::Full, Reason::LineFull | Reason::NotHere | Reason::Unknown)
         | (Outcome::Lost, Reason::SentAway)
-        | (Outcome::Error, _) => machine.faults.entry(task.class).or_default().fail(now, gap),
+        | (Outcome::Error, _) => machine.faults.entry(task.class).or_default().fail(now, gap, BAR),
         (Outcome::Full, Reason::NoCores) => {
             machine.see_full(now, Room { memory: f64::INFINITY, ..task.room });
         }
@@ -928,11 +920,11 @@
         (Outcome::Lost, _) if bound => {
             machine.up_since = machine.up_since.max(now);
             machine.kept.clear();
-            machine.silence.fail(now, gap);
+            machine.silence.fail(now, gap, BAR);
         }
         (Outcome::TimedOut | Outcome::ConnectFailed | Outcome::Lost, _) => {
-            machine.silence.fail(now, gap);
-            machine.faults.entry(task.class).or_default().fail(now, gap);
+            machine.silence.fail(now, gap, BAR);
+            machine.faults.entry(task.class).or_default().fail(now, gap, BAR);
         }
         _ => {}
     }
--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -9,6 +9,8 @@
     Answer(RequestId),
     Unlisted(RequestId),
     Forget(RequestId),
+    Group(GroupId),
+    ForgetGroup(GroupId),
 }
 
 fn micros(at: Seconds) -> u64 {
@@ -56,6 +58,8 @@
                     }
                 }
                 Alarm::Forget(job) => self.forget(job, effects),
+                Alarm::Group(group) => self.group_hears(now, group, groups::Event::Tick, effects),
+                Alarm::ForgetGroup(group) => self.forget_group(group, effects),
             }
         }
         if placer {
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -1,6 +1,7 @@
 //! The attempts of a job and the guards that hold whatever the module decides: one attempt out, no send to a machine
 //! that drains, the repeat window, and the end of what stood.
 
+use super::machines::CUT;
 use super::*;
 
 impl Core {
@@ -61,7 +62,8 @@
         let Some(trial) = job.trial.take_if(|t| t.machine == at && t.left) else { return };
         (job.phase, job.machine, job.placed_at) = (Phase::Running, Some(at), now);
         job.risky_since = job.risky_since.or(Some(trial.at));
-        let owner = job.owner;
+        let (owner, service) = (job.owner, job.task.service);
+        self.groups.starts.learn(now, service, now - trial.at);
         self.answered(now, id);
         self.lighten(id);
         if let Some(node) = self.nodes.get_mut(&at) {
@@ -88,7 +90,13 @@
         job.last = Some((outcome, why));
         if !outcome.never_ran() {
             job.risky_since = job.risky_since.or(Some(trial.at));
+            if matches!(job.owner, Owner::Group { .. }) {
+                // No copy of a member may run on that its group does not know of.
+                effects.push(Effect::Stop { machine: trial.machine, job: id, cause: CUT });
+                self.unproved(id, trial.machine);
+            }
         }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         let finished = job.phase != Phase::Pending;
         let last = !finished && self.is_last(now, id);
         self.changed(id, ChangeKind::Modified, effects);
@@ -110,6 +118,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.last = Some((outcome, why));
         let (owner, attempt) = (job.owner, job.attempts.saturating_sub(1));
+        let room = job.task.room;
+        self.groups.ends.count(now, room);
         if outcome != Outcome::Cancelled {
             effects.push(Effect::Released { owner, job: id, outcome });
         }
@@ -129,6 +139,11 @@
             job.risky_since = job.risky_since.or(Some(trial.at));
         }
         effects.push(Effect::GiveUp { machine: trial.machine, job: id });
+        if trial.left && matches!(job.owner, Owner::Group { .. }) {
+            // The give-up is lost with its connection; this is not.
+            effects.push(Effect::Stop { machine: trial.machine, job: id, cause: CUT });
+            self.unproved(id, trial.machine);
+        }
         Some(trial)
     }
 
--- /dev/null
+++ b/src/state/groups.rs
@@ -0,0 +1,438 @@
+//! The groups: what each knows of its members, and of copies that are not proved gone. The decisions are
+//! `decide::groups`'; here its members become jobs, and what befalls those jobs becomes its events.
+
+use super::machines::CUT;
+use super::*;
+use crate::decide::groups::fit::{self, Lacks, Need};
+use crate::decide::groups::settings::GroupSettings;
+use crate::decide::groups::starts::{Ends, Starts};
+pub(super) use crate::decide::groups::Event;
+use crate::decide::groups::{self, Action, Answer, Group, Why};
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// Count. Copies that are cut again whenever their machines come back; the oldest are let go first.
+const MOST_CUTS: usize = 16_384;
+/// Seconds. When to come back where a group asks for more than it ever may.
+const NEVER_RETRY_S: Seconds = 30.0;
+
+/// A member's copy that was told to go, by the machines that have not said that it is gone.
+struct Cut {
+    of: Option<(GroupId, usize)>,
+    machines: BTreeSet<MachineId>,
+}
+
+struct Member {
+    spec: Arc<Spec>,
+    task: Task,
+    job: Option<RequestId>,
+}
+
+/// A group and its members.
+struct Book {
+    group: Group,
+    members: Vec<Member>,
+    key: Option<String>,
+    digest: u64,
+    deadline: Seconds,
+    share: f64,
+    /// Jobs that were made for it, which gives each an id of its own.
+    made: u32,
+    answer: Option<Answer>,
+    version: u64,
+}
+
+/// All groups.
+#[derive(Default)]
+pub(super) struct Groups {
+    books: BTreeMap<GroupId, Book>,
+    keys: BTreeMap<String, GroupId>,
+    over: VecDeque<GroupId>,
+    cuts: BTreeMap<RequestId, Cut>,
+    /// The order in which cuts were booked.
+    cut_order: VecDeque<RequestId>,
+    /// Members whose copies were just proved gone.
+    proved: Vec<(GroupId, usize)>,
+    pub starts: Starts,
+    pub ends: Ends,
+    /// What holds for groups that come from now on; nothing where groups are off.
+    pub settings: Option<Arc<GroupSettings>>,
+}
+
+/// A member of a group as it can be looked at.
+#[derive(Clone, Debug)]
+pub struct MemberView {
+    /// Its job, once there is one.
+    pub job: Option<RequestId>,
+    /// How that job stands.
+    pub phase: Option<Phase>,
+    /// Where it stands.
+    pub machine: Option<String>,
+    /// Machines that have not said that its copy is gone.
+    pub unreachable: Vec<String>,
+}
+
+/// A group at one version.
+#[derive(Clone, Debug)]
+pub struct GroupView {
+    /// Its id.
+    pub id: GroupId,
+    /// Where it stands.
+    pub phase: groups::Phase,
+    /// The final answer, once it was given.
+    pub answer: Option<Answer>,
+    /// Why it was given up, also after the answer.
+    pub why: Option<Why>,
+    /// Tries of the whole.
+    pub tries: u32,
+    /// When its owner gives up on it.
+    pub deadline: Seconds,
+    /// The key that all asks for it share.
+    pub key: Option<String>,
+    /// Its members.
+    pub members: Vec<MemberView>,
+    /// Version of its last change.
+    pub version: u64,
+}
+
+impl Groups {
+    /// Groups that wait for their final answer.
+    pub fn unanswered(&self) -> usize {
+        self.books.values().filter(|b| b.answer.is_none()).count()
+    }
+
+    fn settle(&mut self, job: RequestId) {
+        if self.cuts.get(&job).is_some_and(|cut| cut.machines.is_empty()) {
+            let of = self.cuts.remove(&job).and_then(|cut| cut.of);
+            self.cut_order.retain(|other| *other != job);
+            self.proved.extend(of);
+        }
+    }
+}
+
+/// What an answer to a member means to its group.
+fn of_group(effect: &Effect) -> Option<(GroupId, Event)> {
+    let (owner, event): (&Owner, fn(usize, &Effect) -> Event) = match effect {
+        Effect::Placed { owner, .. } => {
+            (owner, |member, _| Event::Stands { member, machine: MachineId::default() })
+        }
+        Effect::Refused { owner, .. } => (owner, |member, effect| {
+            let retry_in_s = if let Effect::Refused { retry_in_s, .. } = effect { *retry_in_s } else { 0.0 };
+            Event::Refused { member, retry_in_s }
+        }),
+        Effect::Failed { owner, .. } => (owner, |member, _| Event::Failed { member }),
+        Effect::Released { owner, .. } => (owner, |member, effect| match effect {
+            Effect::Released { outcome: Outcome::Ok, .. } => Event::Finished { member },
+            _ => Event::Lost { member },
+        }),
+        _ => return None,
+    };
+    match owner {
+        Owner::Group { group, member } => Some((*group, event(*member, effect))),
+        _ => None,
+    }
+}
+
+impl Core {
+    /// A group that is known still.
+    pub fn group_view_of(&self, id: GroupId) -> Option<GroupView> {
+        self.groups.books.get(&id).map(|book| self.group_view(id, book))
+    }
+
+    /// The final answer of a group that is known still, where it was given.
+    pub fn group_answer(&self, id: GroupId) -> Option<Answer> {
+        self.groups.books.get(&id)?.answer
+    }
+
+    /// Every group, the one that changed last at the end.
+    pub fn group_views(&self) -> Vec<GroupView> {
+        let mut views: Vec<GroupView> =
+            self.groups.books.iter().map(|(&id, book)| self.group_view(id, book)).collect();
+        views.sort_by_key(|view| view.version);
+        views
+    }
+
+    /// The group with that key, and what tells its ask from another.
+    pub fn group_keyed(&self, key: &str) -> Option<(GroupId, u64)> {
+        let id = *self.groups.keys.get(key)?;
+        Some((id, self.groups.books.get(&id)?.digest))
+    }
+
+    /// What holds for groups that come from now on; nothing where they are off.
+    pub fn group_settings(&self) -> Option<Arc<GroupSettings>> {
+        self.groups.settings.clone()
+    }
+
+    /// Groups that are not over.
+    pub fn open_groups(&self) -> usize {
+        self.groups.books.len() - self.groups.over.len()
+    }
+
+    fn group_view(&self, id: GroupId, book: &Book) -> GroupView {
+        let member = |member: &Member| {
+            let job = member.job.and_then(|job| self.jobs.get(&job));
+            let cut = member.job.and_then(|job| self.groups.cuts.get(&job));
+            MemberView {
+                job: member.job,
+                phase: job.map(|j| j.phase),
+                machine: job.and_then(|j| j.machine).map(|m| self.words.name(m)),
+                unreachable: cut
+                    .map(|c| c.machines.iter().map(|&m| self.words.name(m)).collect())
+                    .unwrap_or_default(),
+            }
+        };
+        GroupView {
+            id,
+            phase: book.group.phase(),
+            answer: book.answer,
+            why: book.group.why(),
+            tries: book.group.tries(),
+            deadline: book.deadline,
+            key: book.key.clone(),
+            members: book.members.iter().map(member).collect(),
+            version: book.version,
+        }
+    }
+
+    fn group_changed(&mut self, id: GroupId, kind: ChangeKind, effects: &mut Vec<Effect>) {
+        let version = self.history.next_version();
+        let Some(book) = self.groups.books.get_mut(&id) else { return };
+        book.version = version;
+        if let Some(book) = self.groups.books.get(&id).filter(|_| self.keep.history > 0) {
+            let object = Object::Group(Arc::new(self.group_view(id, book)));
+            self.history.push(kind, object);
+            effects.push(Effect::Changed);
+        }
+    }
+
+    pub(super) fn submit_group(&mut self, now: Seconds, ask: GroupAsk, effects: &mut Vec<Effect>) {
+        let id = ask.group;
+        if self.groups.books.contains_key(&id) {
+            return;
+        }
+        let starts = ask.members.iter().map(|(_, task)| self.groups.starts.expected(task.service)).collect();
+        let mut group = Group::new(ask.policy, ask.deadline, starts, id.0);
+        let mut actions = Vec::new();
+        group.begin(now, &mut actions);
+        let member = |(spec, task)| Member { spec, task, job: None };
+        if let Some(key) = &ask.key {
+            self.groups.keys.insert(key.clone(), id);
+        }
+        let book = Book {
+            group,
+            members: ask.members.into_iter().map(member).collect(),
+            key: ask.key,
+            digest: ask.digest,
+            deadline: ask.deadline,
+            share: ask.share,
+            made: 0,
+            answer: None,
+            version: 0,
+        };
+        self.groups.books.insert(id, book);
+        self.group_changed(id, ChangeKind::Added, effects);
+        self.group_acts(now, id, actions, effects);
+    }
+
+    /// The planner stops: groups that do not stand whole are given up.
+    pub(super) fn stop_groups(&mut self, now: Seconds, effects: &mut Vec<Effect>) {
+        let ids: Vec<GroupId> = self.groups.books.keys().copied().collect();
+        for id in ids {
+            self.group_hears(now, id, Event::Stop, effects);
+        }
+    }
+
+    /// Lets a group hear an event, and does what it asks for.
+    pub(super) fn group_hears(&mut self, now: Seconds, id: GroupId, event: Event, effects: &mut Vec<Effect>) {
+        let Some(book) = self.groups.books.get_mut(&id) else { return };
+        let before = (book.group.phase(), book.group.standing().count());
+        let mut actions = Vec::new();
+        book.group.handle(now, event, &mut actions);
+        let after = (book.group.phase(), book.group.standing().count());
+        if before != after {
+            self.group_changed(id, ChangeKind::Modified, effects);
+        }
+        self.group_acts(now, id, actions, effects);
+    }
+
+    /// Turns answers to members into events of their groups, until nothing more follows.
+    pub(super) fn settle_groups(&mut self, now: Seconds, from: usize, effects: &mut Vec<Effect>) {
+        if self.groups.books.is_empty() {
+            self.groups.proved.clear();
+            return;
+        }
+        let mut at = from;
+        loop {
+            while at < effects.len() {
+                let Some((group, event)) = of_group(&effects[at]) else {
+                    at += 1;
+                    continue;
+                };
+                effects.remove(at);
+                let event = match event {
+                    Event::Stands { member, .. } => {
+                        let job = self.groups.books.get(&group).and_then(|b| b.members.get(member)?.job);
+                        let machine = job.and_then(|job| self.jobs.get(&job)?.machine);
+                        Event::Stands { member, machine: machine.unwrap_or_default() }
+                    }
+                    other => other,
+                };
+                self.group_hears(now, group, event, effects);
+            }
+            let Some((group, member)) = self.groups.proved.pop() else { return };
+            if !self.is_unproved(group, member) {
+                self.group_hears(now, group, Event::Clear { member }, effects);
+            }
+        }
+    }
+
+    fn is_unproved(&self, group: GroupId, member: usize) -> bool {
+        let job = self.groups.books.get(&group).and_then(|b| b.members.get(member)?.job);
+        // A job that is not over may still have copies.
+        let open = job.and_then(|job| self.jobs.get(&job)).is_some_and(|j| !j.phase.is_over());
+        open || job.is_some_and(|job| self.groups.cuts.contains_key(&job))
+    }
+
+    fn group_acts(&mut self, now: Seconds, id: GroupId, actions: Vec<Action>, effects: &mut Vec<Effect>) {
+        for action in actions {
+            match action {
+                Action::Admit => self.admit_group(now, id, effects),
+                Action::Place(member) => self.place_member(now, id, member, effects),
+                Action::Cut(member) => {
+                    let job = self.groups.books.get(&id).and_then(|b| b.members.get(member)?.job);
+                    if let Some(job) = job {
+                        self.cancel(now, job, CUT, effects);
+                    }
+                    self.groups.proved.push((id, member));
+                }
+                Action::Answer(answer) => {
+                    if let Some(book) = self.groups.books.get_mut(&id) {
+                        debug_assert!(book.answer.is_none(), "one final answer");
+                        book.answer = Some(answer);
+                    }
+                    self.group_changed(id, ChangeKind::Modified, effects);
+                }
+                Action::WakeAt(at) => self.alarm(at, Alarm::Group(id)),
+                Action::Over => self.group_over(now, id, effects),
+            }
+        }
+    }
+
+    /// Looks whether there is room for the whole group beside what others were promised.
+    fn admit_group(&mut self, now: Seconds, id: GroupId, effects: &mut Vec<Effect>) {
+        let need = |settings: &Settings, m: &Member| Need {
+            room: m.task.room,
+            kind: settings.classes[m.task.class].kind,
+        };
+        let Some(book) = self.groups.books.get(&id) else { return };
+        let needs: Vec<Need> = book.members.iter().map(|m| need(&self.settings, m)).collect();
+        // What was promised and is not bound yet: a bind is in the module's own count.
+        let unbound = |m: &Member| {
+            let job = m.job.and_then(|job| self.jobs.get(&job));
+            job.is_some_and(|j| j.phase == Phase::Pending && j.trial.is_none())
+        };
+        let promised = |(other, b): (&GroupId, &Book)| -> Vec<Need> {
+            let asked = b.group.asked().filter(|&member| unbound(&b.members[member]));
+            let open = b.group.waiting().chain(asked).filter(|_| *other != id);
+            open.map(|member| need(&self.settings, &b.members[member])).collect()
+        };
+        let kept: Vec<Need> = self.groups.books.iter().flat_map(promised).collect();
+        let spaces = self.placer.spaces(now);
+        let event = match fit::admit(&needs, &spaces, &kept, book.share) {
+            Ok(()) => Event::LetIn,
+            Err(Lacks::Now) => {
+                let (ends, mean) = (self.groups.ends.rate(now), self.groups.ends.mean());
+                Event::NoRoom { retry_in_s: fit::away(&needs, &spaces, ends, mean) }
+            }
+            Err(Lacks::Ever | Lacks::Share) => Event::NoRoom { retry_in_s: NEVER_RETRY_S },
+        };
+        self.group_hears(now, id, event, effects);
+    }
+
+    /// Hands a member in as a job of its own, with an id that was not used before.
+    fn place_member(&mut self, now: Seconds, id: GroupId, member: usize, effects: &mut Vec<Effect>) {
+        let Some(book) = self.groups.books.get_mut(&id) else { return };
+        let job = loop {
+            book.made += 1;
+            let mut hash = SipHasher13::new();
+            [id.0, member as u64, u64::from(book.made)].iter().for_each(|&n| hash.write_u64(n));
+            let job = RequestId(hash.finish());
+            if job.0 != 0 && !self.jobs.contains_key(&job) && !self.groups.cuts.contains_key(&job) {
+                break job;
+            }
+        };
+        let deadline = book.deadline;
+        let Some(of) = book.members.get_mut(member) else { return };
+        of.job = Some(job);
+        let task = Task { deadline: deadline.min(of.task.deadline), ..of.task };
+        let spec = Arc::new(Spec { name: format!("{:016x}", job.0), ..Spec::clone(&of.spec) });
+        let owner = Owner::Group { group: id, member };
+        self.submit(now, Ask { job, owner, spec, task }, effects);
+    }
+
+    fn group_over(&mut self, now: Seconds, id: GroupId, effects: &mut Vec<Effect>) {
+        self.group_changed(id, ChangeKind::Modified, effects);
+        self.groups.over.push_back(id);
+        self.alarm(now + self.keep.over_s, Alarm::ForgetGroup(id));
+        while self.groups.over.len() > self.keep.over {
+            let Some(oldest) = self.groups.over.front().copied() else { break };
+            self.forget_group(oldest, effects);
+        }
+    }
+
+    pub(super) fn forget_group(&mut self, id: GroupId, effects: &mut Vec<Effect>) {
+        self.groups.over.retain(|&other| other != id);
+        self.group_changed(id, ChangeKind::Deleted, effects);
+        if let Some(key) = self.groups.books.remove(&id).and_then(|book| book.key) {
+            if self.groups.keys.get(&key) == Some(&id) {
+                self.groups.keys.remove(&key);
+            }
+        }
+    }
+
+    /// Books that a copy of a member may be at a machine until that says otherwise.
+    pub(super) fn unproved(&mut self, job: RequestId, machine: MachineId) {
+        let Some(Owner::Group { group, member }) = self.jobs.get(&job).map(|j| j.owner) else { return };
+        if !self.nodes.contains_key(&machine) {
+            return; // It has left the list: its process is gone.
+        }
+        if !self.groups.cuts.contains_key(&job) {
+            if self.groups.cut_order.len() >= MOST_CUTS {
+                if let Some(oldest) = self.groups.cut_order.pop_front() {
+                    self.groups.cuts.remove(&oldest);
+                }
+            }
+            self.groups.cut_order.push_back(job);
+        }
+        let none = || Cut { of: None, machines: BTreeSet::new() };
+        let cut = self.groups.cuts.entry(job).or_insert_with(none);
+        cut.of = Some((group, member));
+        cut.machines.insert(machine);
+    }
+
+    /// A machine says that a copy is over.
+    pub(super) fn prove_gone(&mut self, job: RequestId, machine: MachineId) {
+        if let Some(cut) = self.groups.cuts.get_mut(&job) {
+            cut.machines.remove(&machine);
+            self.groups.settle(job);
+        }
+    }
+
+    /// A machine's process is gone with all that it held.
+    pub(super) fn prove_all_gone(&mut self, machine: MachineId) {
+        let here = |cut: &Cut| cut.machines.contains(&machine);
+        let jobs: Vec<RequestId> =
+            self.groups.cuts.iter().filter(|(_, cut)| here(cut)).map(|(&job, _)| job).collect();
+        jobs.into_iter().for_each(|job| self.prove_gone(job, machine));
+    }
+
+    /// A machine is there again: the first that it hears is what it is to cut.
+    pub(super) fn cut_again(&mut self, machine: MachineId, effects: &mut Vec<Effect>) {
+        let here = |(_, cut): &(&RequestId, &Cut)| cut.machines.contains(&machine);
+        let jobs = self.groups.cuts.iter().filter(here).map(|(&job, _)| job);
+        effects.extend(jobs.map(|job| Effect::Stop { machine, job, cause: CUT }));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/state/groups/tests.rs
@@ -0,0 +1,459 @@
+//! Groups in the reducer: hard cases one by one, and a simulated fleet that fails by seed, on a clock of its own.
+
+use super::*;
+use crate::decide::groups::{OnLoss, Phase as GroupPhase, Policy};
+use crate::state::limits::tests::core as core_of_three;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const POLICY: Policy = Policy {
+    partial_s: 1.0,
+    cut_wait_s: 0.25,
+    tries: 2,
+    pause_s: (0.1, 0.3),
+    on_loss: OnLoss::Cut,
+    replacements: 2,
+};
+
+/// A message to a machine, in order on its connection.
+#[derive(Clone, Debug)]
+enum Message {
+    Launch(RequestId, AttemptNo),
+    Stop(RequestId),
+}
+
+/// What happens when.
+#[derive(Clone, Debug)]
+enum Happens {
+    Arrives(u32, u64, Message),
+    Starts(u32, RequestId),
+    Ends(u32, RequestId),
+    Says(u32, u64, RequestId, Option<Outcome>),
+    Up(u32),
+    Wakes(u32),
+}
+
+/// A simulated machine.
+#[derive(Default)]
+struct Machine {
+    /// Counts its connections: what was on its way on an earlier one is lost.
+    link: u64,
+    up: bool,
+    hangs: bool,
+    inbox: Vec<(u64, Message)>,
+    /// Copies, and whether they run.
+    copies: BTreeMap<RequestId, bool>,
+    /// What waits for a connection: orders to cut, then set-ups.
+    kept: Vec<Message>,
+}
+
+/// A copy's life as the machine knows it: group, member, from when, until when.
+type Life = (GroupId, usize, Seconds, Seconds);
+
+struct World {
+    core: Core,
+    now: Seconds,
+    rng: Pcg64Mcg,
+    queue: BTreeMap<(u64, u64), Happens>,
+    next: u64,
+    machines: Vec<Machine>,
+    refuse: f64,
+    fail: f64,
+    runs: BTreeMap<RequestId, (u32, Seconds)>,
+    lives: Vec<Life>,
+    open: BTreeSet<GroupId>,
+    answers: BTreeMap<GroupId, Answer>,
+    owners: BTreeMap<RequestId, (GroupId, usize)>,
+}
+
+impl World {
+    fn new(seed: u64, machines: u32) -> World {
+        let mut world = World {
+            core: core_of_three(),
+            now: 100.0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            next: 0,
+            machines: (0..machines).map(|_| Machine { up: true, ..Machine::default() }).collect(),
+            refuse: 0.0,
+            fail: 0.0,
+            runs: BTreeMap::new(),
+            lives: Vec::new(),
+            open: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            owners: BTreeMap::new(),
+        };
+        let all: Vec<(u32, Standing)> = (0..machines).map(|n| (n, Standing::Ready)).collect();
+        world.list(&all);
+        world
+    }
+
+    fn list(&mut self, all: &[(u32, Standing)]) {
+        let notice = |&(n, standing): &(u32, Standing)| {
+            let (machine, key) = (MachineId(n), MachineKey(u64::from(n)));
+            let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 100.0, memory: 200.0 });
+            let entry = Entry { machine, key, zone, cell, kind: Some(0), standing, free, started: 0.0 };
+            Notice { entry, address: format!("a:{n}") }
+        };
+        self.tell(Input::List { kind: ListKind::Changes, notices: all.iter().map(notice).collect() });
+    }
+
+    fn later(&mut self, after: Seconds, happens: Happens) {
+        self.next += 1;
+        self.queue.insert((((self.now + after) * 1e6) as u64, self.next), happens);
+    }
+
+    fn tell(&mut self, input: Input) {
+        let mut effects = Vec::new();
+        self.core.apply(self.now, input, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Launch { machine, job, attempt, .. } => {
+                    if let Some(Owner::Group { group, member }) = self.core.job(job).map(|j| j.owner) {
+                        self.owners.insert(job, (group, member));
+                    }
+                    self.send(machine.0, Message::Launch(job, attempt));
+                }
+                Effect::GiveUp { machine, job } => {
+                    let of = |m: &Message| matches!(m, Message::Launch(j, _) if *j == job);
+                    let kept = &mut self.machines[machine.0 as usize].kept;
+                    let before = kept.len();
+                    kept.retain(|m| !of(m));
+                    if kept.len() == before && self.machines[machine.0 as usize].up {
+                        self.send(machine.0, Message::Stop(job));
+                    }
+                }
+                Effect::Stop { machine, job, .. } => self.send(machine.0, Message::Stop(job)),
+                _ => {}
+            }
+        }
+        let answered = |id: &GroupId| Some((*id, self.core.group_answer(*id)?));
+        let now: Vec<(GroupId, Answer)> = self.open.iter().filter_map(answered).collect();
+        for (id, answer) in now {
+            self.open.remove(&id);
+            self.answers.insert(id, answer);
+        }
+    }
+
+    fn send(&mut self, at: u32, message: Message) {
+        let machine = &mut self.machines[at as usize];
+        if !machine.up {
+            return machine.kept.push(message);
+        }
+        let link = machine.link;
+        if let Message::Launch(job, attempt) = message {
+            self.later(0.001, Happens::Arrives(at, link, message));
+            return self.tell(Input::Sent { job, attempt });
+        }
+        self.later(0.001, Happens::Arrives(at, link, message));
+    }
+
+    fn died_or_reset(&mut self, at: u32, dies: bool) {
+        let machine = &mut self.machines[at as usize];
+        machine.link += 1;
+        (machine.up, machine.inbox) = (false, Vec::new());
+        // Set-ups that were open on it are given up; what runs stays, unless the process died.
+        let gone: Vec<RequestId> =
+            machine.copies.iter().filter(|(_, runs)| dies || !**runs).map(|(&job, _)| job).collect();
+        gone.into_iter().for_each(|job| self.over(at, job));
+        self.tell(Input::LinkBroken { machine: MachineId(at) });
+        if dies {
+            self.machines[at as usize].kept.clear();
+            self.tell(Input::MachineLost { machine: MachineId(at), proved: true });
+        }
+        self.later(0.05, Happens::Up(at));
+    }
+
+    /// A copy is no more.
+    fn over(&mut self, at: u32, job: RequestId) {
+        self.machines[at as usize].copies.remove(&job);
+        if let (Some((_, from)), Some(&(group, member))) = (self.runs.remove(&job), self.owners.get(&job)) {
+            self.lives.push((group, member, from, self.now));
+        }
+    }
+
+    fn says(&mut self, at: u32, job: RequestId, what: Option<Outcome>) {
+        let link = self.machines[at as usize].link;
+        self.later(0.001, Happens::Says(at, link, job, what));
+    }
+
+    fn arrives(&mut self, at: u32, link: u64, message: Message) {
+        let machine = &mut self.machines[at as usize];
+        if machine.link != link {
+            return;
+        }
+        if machine.hangs {
+            return machine.inbox.push((link, message));
+        }
+        match message {
+            Message::Launch(job, _) => {
+                let drawn = self.rng.gen::<f64>();
+                if drawn < self.refuse {
+                    return self.says(at, job, Some(Outcome::Full));
+                }
+                if drawn < self.refuse + self.fail {
+                    return self.says(at, job, Some(Outcome::Error));
+                }
+                self.machines[at as usize].copies.insert(job, false);
+                let after = self.rng.gen_range(0.005..0.1);
+                self.later(after, Happens::Starts(at, job));
+            }
+            Message::Stop(job) => {
+                let held = machine.copies.contains_key(&job);
+                self.over(at, job);
+                self.says(at, job, Some(if held { Outcome::Cancelled } else { Outcome::Moot }));
+            }
+        }
+    }
+
+    fn happens(&mut self, happens: Happens) {
+        match happens {
+            Happens::Arrives(at, link, message) => self.arrives(at, link, message),
+            Happens::Starts(at, job) => {
+                if let Some(runs) = self.machines[at as usize].copies.get_mut(&job) {
+                    *runs = true;
+                    self.runs.insert(job, (at, self.now));
+                    self.says(at, job, None);
+                    let life = self.rng.gen_range(1.0..3.0);
+                    self.later(life, Happens::Ends(at, job));
+                }
+            }
+            Happens::Ends(at, job) => {
+                if self.machines[at as usize].copies.contains_key(&job) {
+                    self.over(at, job);
+                    self.says(at, job, Some(Outcome::Ok));
+                }
+            }
+            Happens::Says(at, link, job, what) => {
+                let machine = &self.machines[at as usize];
+                if machine.link != link || machine.hangs {
+                    return;
+                }
+                let id = MachineId(at);
+                match what {
+                    None => self.tell(Input::Bound { machine: id, job, body: String::new() }),
+                    Some(outcome) => self.tell(Input::Ended {
+                        machine: id,
+                        job,
+                        before: outcome,
+                        after: if outcome == Outcome::Ok { Outcome::Ok } else { Outcome::Cancelled },
+                        why: Reason::LineFull,
+                        report: None,
+                    }),
+                }
+            }
+            Happens::Up(at) => {
+                self.machines[at as usize].up = true;
+                self.tell(Input::LinkUp { machine: MachineId(at) });
+                let mut kept = std::mem::take(&mut self.machines[at as usize].kept);
+                kept.sort_by_key(|m| matches!(m, Message::Launch(..)));
+                kept.into_iter().for_each(|message| self.send(at, message));
+            }
+            Happens::Wakes(at) => {
+                let machine = &mut self.machines[at as usize];
+                machine.hangs = false;
+                let inbox = std::mem::take(&mut machine.inbox);
+                inbox.into_iter().for_each(|(link, message)| self.arrives(at, link, message));
+            }
+        }
+    }
+
+    /// Goes on for so long.
+    fn run(&mut self, span: Seconds) {
+        let until = self.now + span;
+        loop {
+            let alarm = self.core.next_alarm().map(|at| (at * 1e6) as u64);
+            let next = self.queue.keys().next().map(|&(at, _)| at);
+            let due = alarm.into_iter().chain(next).min().filter(|&at| at as f64 / 1e6 <= until);
+            let Some(due) = due else { break };
+            // Times are rounded both ways on their way here: a little later all that is due is due.
+            self.now = self.now.max(due as f64 / 1e6 + 2e-6);
+            match self.queue.pop_first() {
+                Some((key, happens)) if key.0 <= due => self.happens(happens),
+                Some((key, happens)) => {
+                    self.queue.insert(key, happens);
+                    self.tell(Input::Tick);
+                }
+                None => self.tell(Input::Tick),
+            }
+        }
+        self.now = until;
+    }
+
+    fn group(&mut self, id: u64, members: usize, cores: f64, on_loss: OnLoss) -> GroupId {
+        let deadline = self.now + 4.0;
+        let member = |at: usize| {
+            let room = Room { cores, memory: cores };
+            let class = usize::from(at % 3 == 2);
+            let limits = TaskLimits::default();
+            let service = ServiceId(at as u64 % 4);
+            let task = Task { class, tenant: None, service, room, deadline, life_s: None, limits };
+            let key = (class == 1).then(|| format!("{id}/{at}"));
+            let class = ["stateless", "keyed"][class].to_string();
+            (Arc::new(Spec { class, key, ..Spec::default() }), task)
+        };
+        let policy = Policy { on_loss, ..POLICY };
+        let (group, members) = (GroupId(id), (0..members).map(member).collect());
+        self.open.insert(group);
+        let (share, key, digest) = (1.0, Some(format!("g{id}")), 0);
+        self.tell(Input::SubmitGroup(GroupAsk { group, members, deadline, policy, share, key, digest }));
+        group
+    }
+
+    fn view(&self, group: GroupId) -> GroupView {
+        self.core.group_view_of(group).expect("a group")
+    }
+
+    /// How long groups stood in part, by the machines' own lives of copies.
+    fn partial(&self, sizes: &BTreeMap<GroupId, usize>) -> Vec<Seconds> {
+        let mut all = Vec::new();
+        for (&group, &size) in sizes {
+            let mut changes: Vec<(Seconds, bool, usize)> = Vec::new();
+            for &(_, member, from, until) in self.lives.iter().filter(|l| l.0 == group) {
+                changes.extend([(from, true, member), (until, false, member)]);
+            }
+            changes.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let (mut runs, mut since, mut whole) = (BTreeMap::new(), None, false);
+            for (at, starts, member) in changes {
+                let count: &mut i32 = runs.entry(member).or_default();
+                *count += if starts { 1 } else { -1 };
+                assert!(*count <= 1, "two copies of member {member} of {group:?}");
+                let running = runs.values().filter(|c| **c > 0).count();
+                whole = (whole && running > 0) || running == size;
+                if since.is_none() && running > 0 && !whole {
+                    since = Some(at);
+                }
+                if running == 0 || whole {
+                    all.extend(since.take().map(|from| at - from));
+                }
+            }
+        }
+        all
+    }
+}
+
+/// Guards the count that matters: on machines that refuse, fail, are reset, die, hang and drain, no group stands in part
+/// for over a second but where a machine hangs, no member is doubled, and each group has one answer.
+#[test]
+fn no_partial_group_outlives_a_second() {
+    for seed in 1..=6 {
+        let hangs = seed % 2 == 0;
+        let mut world = World::new(seed, 8);
+        (world.refuse, world.fail) = (0.01, 0.005);
+        let mut sizes = BTreeMap::new();
+        for turn in 1..=300 {
+            let members = world.rng.gen_range(2..=32);
+            let id = world.group(turn, members, 1.0, [OnLoss::Keep, OnLoss::Cut][turn as usize % 2]);
+            sizes.insert(id, members);
+            let at = world.rng.gen_range(0..8);
+            match world.rng.gen_range(0..12) {
+                0 => world.died_or_reset(at, false),
+                1 => world.died_or_reset(at, true),
+                2 if hangs => {
+                    world.machines[at as usize].hangs = true;
+                    world.later(0.4, Happens::Wakes(at));
+                }
+                3 => world.list(&[(at, Standing::Draining)]),
+                4 => world.list(&[(at, Standing::Ready)]),
+                _ => {}
+            }
+            world.run(0.25);
+        }
+        (world.refuse, world.fail) = (0.0, 0.0);
+        world.run(20.0);
+        let partial = world.partial(&sizes);
+        let greatest = partial.iter().copied().fold(0.0, f64::max);
+        // An order to cut waits at a machine that hangs, here for up to 0.4 s.
+        let most = if hangs { 1.4 } else { 1.0 };
+        assert!(greatest <= most, "seed {seed}: {greatest} s");
+        assert!(partial.len() > 200, "seed {seed}: {} times", partial.len());
+        assert_eq!(world.answers.len(), 300, "seed {seed}: every group has its answer");
+        assert_eq!(world.core.pending(), 0);
+        assert_eq!(world.core.groups.cuts.len(), 0, "seed {seed}: all copies are proved gone");
+        assert!(world.machines.iter().all(|m| m.copies.is_empty()), "seed {seed}: nothing runs on");
+    }
+}
+
+/// Guards groups that each fit alone but not together: 200 at once are placed or turned away, and none is cut by halves.
+#[test]
+fn competing_groups_do_not_block_each_other_in_halves() {
+    let mut world = World::new(3, 2);
+    for id in 1..=200 {
+        world.group(id, 10, 6.0, OnLoss::Keep);
+    }
+    world.run(0.5);
+    let answers: Vec<Answer> = world.answers.values().copied().collect();
+    let placed = answers.iter().filter(|a| **a == Answer::Placed).count();
+    assert_eq!(placed, 3, "two machines of 100 cores take three groups of 60");
+    let refused =
+        |a: &&Answer| matches!(a, Answer::Refused { why: Why::NoRoom, retry_in_s } if *retry_in_s > 0.0);
+    assert_eq!(answers.iter().filter(refused).count(), 197, "at once, with when to come back");
+    assert!(world.lives.is_empty(), "nothing was cut");
+}
+
+/// Guards a group larger than the fleet, which no coming back helps, before any of it is sent.
+#[test]
+fn a_group_larger_than_the_fleet_is_turned_away() {
+    let mut world = World::new(1, 2);
+    let id = world.group(1, 9, 30.0, OnLoss::Keep);
+    assert!(matches!(world.view(id).answer, Some(Answer::Refused { why: Why::NoRoom, .. })));
+    assert!(world.owners.is_empty(), "nothing was sent");
+}
+
+/// Guards an answer against a machine that hangs holding part of a group: it is not waited for, its copy is shown as out
+/// of reach, and is the first to go when the machine is there again.
+#[test]
+fn a_machine_that_hangs_is_cut_when_it_wakes() {
+    let mut world = World::new(5, 2);
+    let id = world.group(1, 6, 1.0, OnLoss::Keep);
+    world.run(0.02);
+    world.machines[0].hangs = true;
+    world.run(1.3);
+    let view = world.view(id);
+    assert!(matches!(view.answer, Some(Answer::Failed { .. })), "{view:?}");
+    let unreachable: Vec<usize> = (0..6).filter(|&at| !view.members[at].unreachable.is_empty()).collect();
+    assert!(!unreachable.is_empty());
+    assert_eq!(view.phase, GroupPhase::Over);
+    // It is reset meanwhile: what was on its way to it is lost, and is sent again.
+    world.died_or_reset(0, false);
+    world.run(0.2);
+    world.happens(Happens::Wakes(0));
+    world.run(0.1);
+    assert!(world.machines[0].copies.is_empty(), "{:?}", world.machines[0].copies);
+    assert!(world.view(id).members.iter().all(|m| m.unreachable.is_empty()));
+}
+
+/// Guards owners and operators: a group that is given up, or a planner that stops, leaves nothing behind.
+#[test]
+fn a_cancel_and_a_stop_leave_nothing() {
+    for stop in [false, true] {
+        let mut world = World::new(9, 2);
+        let id = world.group(1, 8, 1.0, OnLoss::Keep);
+        world.run(0.03);
+        world.tell(if stop { Input::Draining } else { Input::CancelGroup { group: id } });
+        world.run(0.2);
+        assert!(matches!(world.view(id).answer, Some(Answer::Refused { .. })), "{:?}", world.view(id));
+        assert!(world.machines.iter().all(|m| m.copies.is_empty()));
+        assert_eq!(world.core.pending(), 0);
+    }
+}
+
+/// Guards what stands: a lost member is replaced on another machine, or takes the others with it.
+#[test]
+fn a_lost_member_is_replaced_or_ends_the_group() {
+    for on_loss in [OnLoss::Replace, OnLoss::Cut] {
+        let mut world = World::new(11, 3);
+        let id = world.group(1, 3, 1.0, on_loss);
+        world.run(0.2);
+        assert_eq!(world.view(id).answer, Some(Answer::Placed));
+        let at =
+            world.view(id).members[0].job.and_then(|job| world.core.job(job)?.machine).expect("a machine");
+        world.died_or_reset(at.0, true);
+        world.run(0.3);
+        let standing = world.machines.iter().map(|m| m.copies.len()).sum::<usize>();
+        match on_loss {
+            OnLoss::Replace => assert_eq!((world.view(id).phase, standing), (GroupPhase::Standing, 3)),
+            _ => assert_eq!((world.view(id).phase, standing), (GroupPhase::Over, 0)),
+        }
+    }
+}
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -131,7 +131,7 @@
 
     pub(super) fn add(&mut self, now: Seconds, ask: Ask, phase: Phase) {
         let mut risky_since = None;
-        if let (Some(key), Owner::Rest) = (&ask.spec.key, ask.owner) {
+        if let (Some(key), Owner::Rest | Owner::Group { .. }) = (&ask.spec.key, ask.owner) {
             let at = (ask.spec.class.clone(), key.clone());
             let before = self.keys.insert(at, ask.job).and_then(|before| self.jobs.get(&before));
             // A retry stays inside the window that its first try opened. What stood has ended for certain, and
@@ -161,6 +161,7 @@
         };
         match job.owner {
             Owner::Rest => self.open_rest += 1,
+            Owner::Group { .. } => {}
             Owner::Link(link) => {
                 self.links.entry(link).or_default().jobs.insert(ask.job);
             }
@@ -207,7 +208,7 @@
 
     /// What stands needs no description any more, unless it can be looked at.
     pub(super) fn lighten(&mut self, id: RequestId) {
-        if let Some(job) = self.jobs.get_mut(&id).filter(|j| j.owner != Owner::Rest) {
+        if let Some(job) = self.jobs.get_mut(&id).filter(|j| matches!(j.owner, Owner::Link(_))) {
             job.spec = Arc::new(Spec { body: String::new(), ..Spec::clone(&job.spec) });
         }
     }
@@ -251,6 +252,7 @@
         if phase == Phase::Running {
             if let Some(machine) = machine {
                 effects.push(Effect::Stop { machine, job: id, cause });
+                self.unproved(id, machine);
             }
             self.close(now, id, Phase::Cancelled, effects);
             self.feed(now, Event::Withdrawn { request: id }, effects);
@@ -283,6 +285,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         match job.owner {
             Owner::Rest => self.open_rest -= 1,
+            Owner::Group { .. } => {}
             Owner::Link(link) => {
                 if let Entry_::Occupied(mut of_link) = self.links.entry(link) {
                     of_link.get_mut().jobs.remove(&id);
--- a/src/state/limits.rs
+++ b/src/state/limits.rs
@@ -73,14 +73,16 @@
     pub(super) fn limit(&mut self, now: Seconds, mut ask: Ask) -> Result<(Ask, Option<Ticket>), Turned> {
         let front = match ask.owner {
             Owner::Link(_) => Front::Platform,
-            Owner::Rest => Front::Rest,
+            Owner::Rest | Owner::Group { .. } => Front::Rest,
         };
         let (class, room) = (ask.task.class, ask.task.room);
         let subject = Subject { front, class, service: &ask.spec.service, room };
         let Some(resolved) = self.limits.limits.resolve(&subject) else { return Ok((ask, None)) };
         let Resolved { task, total_s, .. } = *resolved;
         let ticket = self.limits.limits.admit(now, &resolved)?;
-        ask.task.limits = task;
+        // A member that may have run is its group's matter: no copy of it goes out beside one that is not proved gone.
+        let copies = task.copies && !matches!(ask.owner, Owner::Group { .. });
+        ask.task.limits = TaskLimits { copies, ..task };
         // An owner's own time is shortened, never lengthened.
         ask.task.deadline = ask.task.deadline.min(now + total_s);
         Ok((ask, ticket))
@@ -120,4 +122,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
--- a/src/state/limits/tests.rs
+++ b/src/state/limits/tests.rs
@@ -12,7 +12,7 @@
 /// Seconds. What an answer may be late by: the core's own guard, and one step of the test's clock.
 const LATE_S: Seconds = 0.5;
 
-fn core() -> Core {
+pub(crate) fn core() -> Core {
     let grade = |name: &str, effect: &str| {
         json!({"name": name, "deadline_s": 5.0, "group": "all", "idempotency": effect, "importance": 1.0,
             "on_time_s": 1.0, "repeat_window_s": WINDOW_S})
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -60,9 +60,11 @@
         for (machine, started) in restarted {
             // Its process came up anew: what stood there before did not survive it.
             self.lose(now, machine, started, effects);
+            self.prove_all_gone(machine);
         }
         for machine in gone {
             self.machine_lost(now, machine, effects);
+            self.prove_all_gone(machine);
             self.machine_changed(machine, ChangeKind::Deleted, effects);
             if self.nodes.remove(&machine).is_some() {
                 effects.push(Effect::Disconnect { machine });
@@ -158,6 +160,7 @@
         for job in lost {
             // Should the machine only have been cut off, its copy must not run on behind the owner's back.
             effects.push(Effect::Stop { machine, job, cause: CUT });
+            self.unproved(job, machine);
             self.standing_over(now, job, Outcome::Lost, Reason::Unknown, None, effects);
         }
     }
@@ -171,6 +174,7 @@
             return self.break_trials(now, machine, false, Reason::Unknown, effects);
         }
         self.machine_lost(now, machine, effects);
+        self.prove_all_gone(machine);
     }
 
     pub(super) fn machine_lost(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 
 mod alarms;
 mod attempts;
+mod groups;
 mod history;
 mod jobs;
 mod limits;
@@ -14,12 +15,14 @@
 mod words;
 
 use alarms::Alarm;
+use groups::Groups;
+pub use groups::{GroupView, MemberView};
 pub use history::{Change, ChangeKind, History, Resume};
 use jobs::{Job, Trial};
 use limits::InForce;
 use machines::Node;
 pub use views::{JobView, MachineView, Object};
-pub use words::{Ask, Effect, Input, Keep, Notice, Owed, Owner, Phase, Refusal, Spec};
+pub use words::{Ask, Effect, GroupAsk, GroupId, Input, Keep, Notice, Owed, Owner, Phase, Refusal, Spec};
 
 use crate::decide::limits::{Front, Limits, Resolved, Subject, Table, Ticket, Turned};
 use crate::placer::Effect as Effect_;
@@ -57,6 +60,7 @@
     keep: Keep,
     history: History,
     limits: InForce,
+    groups: Groups,
 }
 
 impl Core {
@@ -83,6 +87,7 @@
             keep,
             history: History::new(keep.history),
             limits,
+            groups: Groups::default(),
         })
     }
 
@@ -96,9 +101,9 @@
         &self.settings
     }
 
-    /// Jobs that wait for their final answer.
+    /// Jobs that wait for their final answer, and groups that do.
     pub fn pending(&self) -> usize {
-        self.pending
+        self.pending + self.groups.unanswered()
     }
 
     /// Whether no further job is taken.
@@ -140,6 +145,12 @@
 
     /// Takes in one thing that happened, and appends what is to be done about it.
     pub fn apply(&mut self, now: Seconds, input: Input, effects: &mut Vec<Effect>) {
+        let from = effects.len();
+        self.take_in(now, input, effects);
+        self.settle_groups(now, from, effects);
+    }
+
+    fn take_in(&mut self, now: Seconds, input: Input, effects: &mut Vec<Effect>) {
         match input {
             Input::List { kind, notices } => self.list(now, kind, notices, effects),
             Input::Submit(ask) => self.submit(now, ask, effects),
@@ -160,7 +171,12 @@
                 }
             }
             Input::Bound { machine, job, body } => self.bound(now, machine, job, body, effects),
+            Input::SubmitGroup(ask) => self.submit_group(now, ask, effects),
+            Input::CancelGroup { group } => self.group_hears(now, group, groups::Event::Cancel, effects),
+            Input::Draining => self.stop_groups(now, effects),
+            Input::LinkUp { machine } => self.cut_again(machine, effects),
             Input::Ended { machine, job, before, after, why, report } => {
+                self.prove_gone(job, machine);
                 let Some(known) = self.jobs.get(&job) else { return };
                 // What is still in the queue cannot have been answered: that was for an earlier attempt.
                 if known.trial.is_some_and(|t| t.machine == machine && t.left) {
@@ -184,8 +200,14 @@
             Input::DialFailed { machine } => self.break_trials(now, machine, false, Reason::Unknown, effects),
             Input::DialRefused { machine } => self.dial_refused(now, machine, effects),
             Input::LinkBroken { machine } => self.break_trials(now, machine, true, Reason::Broken, effects),
-            Input::MachineLost { machine } => self.machine_lost(now, machine, effects),
+            Input::MachineLost { machine, proved } => {
+                self.machine_lost(now, machine, effects);
+                if proved {
+                    self.prove_all_gone(machine);
+                }
+            }
             Input::Limits { table, digest } => self.take_limits(now, table, digest),
+            Input::GroupSettings(settings) => self.groups.settings = settings,
             Input::LimitsRefused { why } => self.limits.refuse(now, why),
             Input::Tick => self.tick(now, effects),
         }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -120,7 +120,7 @@
         if left {
             bench.tell(Input::Sent { job: RequestId(1), attempt: 0 });
         }
-        let effects = bench.tell(Input::MachineLost { machine: at });
+        let effects = bench.tell(Input::MachineLost { machine: at, proved: true });
         assert_eq!(launched(&effects).is_some(), !left);
         assert_eq!(effects.contains(&Effect::Failed { owner: Owner::Link(1), job: RequestId(1) }), left);
     }
@@ -170,7 +170,7 @@
     let again = launched(&bench.submit(3, Some("k"))).expect("a placing of its own");
     bench.tell(Input::Sent { job: RequestId(3), attempt: 0 });
     bench.bound(again, 3);
-    let lost = bench.tell(Input::MachineLost { machine: again });
+    let lost = bench.tell(Input::MachineLost { machine: again, proved: true });
     assert!(
         lost.contains(&Effect::Stop { machine: again, job: RequestId(3), cause: CUT }),
         "no copy runs on"
--- a/src/state/views.rs
+++ b/src/state/views.rs
@@ -36,6 +36,7 @@
 pub enum Object {
     Job(Arc<JobView>),
     Machine(Arc<MachineView>),
+    Group(Arc<GroupView>),
 }
 
 impl Core {
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -1,5 +1,7 @@
 //! The words between the core and the world: what happens, what is to be done, and how jobs stand.
 
+use crate::decide::groups::settings::GroupSettings;
+use crate::decide::groups::Policy;
 use crate::decide::limits::{Table, Why};
 use crate::placer::{
     AttemptNo, Entry, ListKind, MachineId, Note, Outcome, Reason, Report, RequestId, Seconds, Task,
@@ -13,6 +15,36 @@
     Link(u64),
     /// The REST front, whose clients look at the job itself.
     Rest,
+    /// A group, of which it is a member.
+    Group {
+        /// The group.
+        group: GroupId,
+        /// The member's number.
+        member: usize,
+    },
+}
+
+/// A group, by the id that its front gave it; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GroupId(pub u64);
+
+/// A group as a front hands it in.
+#[derive(Clone, Debug)]
+pub struct GroupAsk {
+    /// The front's id.
+    pub group: GroupId,
+    /// What travels on with each member, and what the module needs to know of it.
+    pub members: Vec<(Arc<Spec>, Task)>,
+    /// When its owner gives up on it.
+    pub deadline: Seconds,
+    /// How it is to be handled.
+    pub policy: Policy,
+    /// The most of the fleet that it may ask for, as a share.
+    pub share: f64,
+    /// The key that all asks for it share.
+    pub key: Option<String>,
+    /// Tells a retry from another group under the same key.
+    pub digest: u64,
 }
 
 /// What is owed on a connection of the platform's front.
@@ -72,6 +104,14 @@
     Submit(Ask),
     /// A task that runs already.
     Adopt { ask: Ask, machine: MachineId },
+    /// A group to be placed whole or not at all.
+    SubmitGroup(GroupAsk),
+    /// The owner of a group gives it up, or ends it.
+    CancelGroup { group: GroupId },
+    /// The planner stops: what does not stand whole is given up.
+    Draining,
+    /// A connection to the machine is up.
+    LinkUp { machine: MachineId },
     /// An owner gives the job up, or ends the task that stands; `cause` goes on to its machine.
     Cancel { job: RequestId, cause: u8 },
     /// A connection of owners is gone: what is open on it is given up, what stands stays.
@@ -99,10 +139,12 @@
     DialRefused { machine: MachineId },
     /// A connection to the machine broke: what was sent on it may have run.
     LinkBroken { machine: MachineId },
-    /// The machine or its process is gone with all it held.
-    MachineLost { machine: MachineId },
+    /// The machine or its process is gone with all it held; it may only be out of reach where nothing proves it.
+    MachineLost { machine: MachineId, proved: bool },
     /// The operators' limits, checked and compiled, are to be in force for the jobs that come from now on.
     Limits { table: Arc<Table>, digest: String },
+    /// What holds for groups that come from now on; nothing where groups are off.
+    GroupSettings(Option<Arc<GroupSettings>>),
     /// A new operators' file was refused; what is in force stays.
     LimitsRefused { why: Vec<String> },
     /// Time has passed.
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -48,7 +48,15 @@
             return false;
         }
         self.bytes += bytes.len();
-        self.parcels.push_back(Parcel { bytes, tag });
+        let parcel = Parcel { bytes, tag };
+        if tag != Tag::Kept {
+            self.parcels.push_back(parcel);
+            return true;
+        }
+        // An order to cut is what its machine hears first, after what has begun to leave and after others like it.
+        let begun = usize::from(self.written > 0);
+        let others = self.parcels.iter().skip(begun).take_while(|p| p.tag == Tag::Kept).count();
+        self.parcels.insert(begun + others, parcel);
         true
     }
 
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -95,6 +95,7 @@
                     let up = Instant::now();
                     silent = 0;
                     let _ = stream.set_nodelay(true);
+                    self.tell(Input::LinkUp { machine });
                     let end = self.talk(&stream, &address, &wake).await;
                     reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
                     if self.address().is_none() {
@@ -119,7 +120,7 @@
                     silent = 0;
                     // A reset before it tells a process that died from one that drains and takes nobody new.
                     self.tell(if reset {
-                        Input::MachineLost { machine }
+                        Input::MachineLost { machine, proved: true }
                     } else {
                         Input::DialRefused { machine }
                     });
@@ -128,7 +129,7 @@
                     silent += 1;
                     self.tell(Input::DialFailed { machine });
                     if silent >= LOST_DIALS {
-                        self.tell(Input::MachineLost { machine });
+                        self.tell(Input::MachineLost { machine, proved: false });
                     }
                 }
             }
@@ -202,7 +203,7 @@
                             _ => (heard, silent_dials) = (Instant::now(), 0),
                         }
                         if silent_dials >= LOST_DIALS {
-                            self.tell(Input::MachineLost { machine: self.machine });
+                            self.tell(Input::MachineLost { machine: self.machine, proved: false });
                             return Err(io::ErrorKind::TimedOut.into());
                         }
                     }
--- a/src/wire/rest/answers.rs
+++ b/src/wire/rest/answers.rs
@@ -18,12 +18,13 @@
     title: &'static str,
     detail: String,
     retry_after_s: Option<f64>,
-    job: Option<Value>,
+    /// The object that it is about, under its name.
+    about: Option<Box<(&'static str, Value)>>,
 }
 
 impl Problem {
     fn new(status: u16, kind: &'static str, title: &'static str, detail: &str) -> Problem {
-        Problem { status, kind, title, detail: detail.into(), retry_after_s: None, job: None }
+        Problem { status, kind, title, detail: detail.into(), retry_after_s: None, about: None }
     }
 
     /// No machine took the job; asking again is harmless.
@@ -38,6 +39,27 @@
         Problem { retry_after_s: Some(retry_after_s), ..problem }
     }
 
+    /// Nothing of the group runs; asking again is harmless.
+    pub fn group_refused(detail: &str, retry_after_s: f64) -> Problem {
+        let problem = Problem::new(429, "group-refused", "The group was refused", detail);
+        Problem { retry_after_s: Some(retry_after_s), ..problem }
+    }
+
+    /// Something of the group may have run, or may still.
+    pub fn group_failed(detail: &str) -> Problem {
+        Problem::new(502, "group-failed", "The group failed", detail)
+    }
+
+    /// Says which member of a group it is about.
+    pub fn of_member(self, at: usize) -> Problem {
+        Problem { detail: format!("member {at}: {}", self.detail), ..self }
+    }
+
+    /// Adds the group that it is about.
+    pub fn about_group(self, group: Value) -> Problem {
+        Problem { about: Some(Box::new(("group", group))), ..self }
+    }
+
     /// The job failed and may have run.
     pub fn failed(detail: &str) -> Problem {
         Problem::new(502, "failed", "The job failed", detail)
@@ -101,7 +123,7 @@
 
     /// Adds the job that it is about.
     pub fn about(self, job: Value) -> Problem {
-        Problem { job: Some(job), ..self }
+        Problem { about: Some(Box::new(("job", job))), ..self }
     }
 
     /// The problem as an object.
@@ -115,8 +137,8 @@
         if let Some(seconds) = self.retry_after_s {
             body["retryAfterMs"] = json!((seconds * 1e3).round() as u64);
         }
-        if let Some(job) = &self.job {
-            body["job"] = job.clone();
+        if let Some(about) = &self.about {
+            body[about.0] = about.1.clone();
         }
         body
     }
--- a/src/wire/rest/jobs.rs
+++ b/src/wire/rest/jobs.rs
@@ -6,6 +6,7 @@
 use super::Front;
 use crate::placer::*;
 use crate::state::{Ask, Input, JobView, Owner, Phase, Refusal, Spec};
+use crate::wire::hub::Inner;
 use crate::wire::platform::node;
 use axum::body::Body;
 use axum::extract::rejection::QueryRejection;
@@ -31,7 +32,7 @@
 pub(super) struct How {
     /// Whether the answer waits until the job stands or is turned away.
     #[serde(default = "yes")]
-    wait: bool,
+    pub wait: bool,
 }
 
 fn yes() -> bool {
@@ -46,13 +47,10 @@
     body: Body,
 ) -> Answer {
     let how = answers::query(how)?;
-    let most = front.options.max_body_bytes;
-    let body = tokio::time::timeout(BODY, axum::body::to_bytes(body, most)).await;
-    let body = body.map_err(|_| Problem::bad("the body did not come in time"))?;
-    let body = body.map_err(|_| Problem::too_large(most))?;
+    let body = whole_body(&front, body).await?;
     let new: NewJob = serde_json::from_slice(&body).map_err(|e| Problem::bad(&e.to_string()))?;
     let key = key_of(&headers)?;
-    let class = check(&front, &new, key.as_deref())?;
+    let class = check(&mut front.hub.lock(), &new, key.as_deref())?;
     if let Some(key) = &key {
         match front.fleet.way(&new.class, key).await {
             Way::Here => {}
@@ -69,7 +67,15 @@
     answer(&front, &view, if joined { 200 } else { 201 })
 }
 
-fn key_of(headers: &HeaderMap) -> Result<Option<String>, Problem> {
+/// A request's body, within its bounds.
+pub(super) async fn whole_body(front: &Front, body: Body) -> Result<axum::body::Bytes, Problem> {
+    let most = front.options.max_body_bytes;
+    let body = tokio::time::timeout(BODY, axum::body::to_bytes(body, most)).await;
+    let body = body.map_err(|_| Problem::bad("the body did not come in time"))?;
+    body.map_err(|_| Problem::too_large(most))
+}
+
+pub(super) fn key_of(headers: &HeaderMap) -> Result<Option<String>, Problem> {
     let Some(value) = headers.get("idempotency-key") else { return Ok(None) };
     let key = value.to_str().unwrap_or_default().trim();
     let key = key.strip_prefix('"').and_then(|k| k.strip_suffix('"')).unwrap_or(key);
@@ -80,8 +86,7 @@
 }
 
 /// Tells whether the job can be asked for at all, and gives the index of its class.
-fn check(front: &Front, new: &NewJob, key: Option<&str>) -> Result<usize, Problem> {
-    let mut inner = front.hub.lock();
+pub(super) fn check(inner: &mut Inner, new: &NewJob, key: Option<&str>) -> Result<usize, Problem> {
     let class = inner.core.words().class(&new.class);
     let class = class.ok_or_else(|| Problem::bad(&format!("there is no class {:?}", new.class)))?;
     let settings = inner.core.settings();
--- a/src/wire/rest/mod.rs
+++ b/src/wire/rest/mod.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod client;
 mod fleet;
+mod groups;
 mod jobs;
 mod limits;
 mod objects;
@@ -172,6 +173,8 @@
         .route("/healthz", get(health))
         .route("/v1/jobs", get(list_jobs).post(jobs::submit))
         .route("/v1/jobs/{id}", get(jobs::get).delete(jobs::cancel))
+        .route("/v1/groups", get(list_groups).post(groups::submit))
+        .route("/v1/groups/{id}", get(groups::get).delete(groups::cancel))
         .route("/v1/limits", get(limits::get))
         .route("/v1/machines", get(list_machines))
         .route("/v1/machines/{name}", get(get_machine))
@@ -215,6 +218,13 @@
     watch::list(front, watch::Kind::Jobs, answers::query(query)?)
 }
 
+async fn list_groups(
+    State(front): State<Arc<Front>>,
+    query: Result<Query<watch::Asked>, QueryRejection>,
+) -> Answer {
+    watch::list(front, watch::Kind::Groups, answers::query(query)?)
+}
+
 async fn list_machines(
     State(front): State<Arc<Front>>,
     query: Result<Query<watch::Asked>, QueryRejection>,
--- a/src/wire/rest/objects.rs
+++ b/src/wire/rest/objects.rs
@@ -1,9 +1,10 @@
 //! Jobs and machines as JSON.
 
 use super::Front;
+use crate::decide::groups;
 use crate::decide::limits::Why;
 use crate::placer::*;
-use crate::state::{JobView, MachineView, Phase};
+use crate::state::{GroupView, JobView, MachineView, MemberView, Phase};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use siphasher::sip::SipHasher13;
@@ -128,6 +129,66 @@
     job
 }
 
+/// A group as an object.
+pub(super) fn group(front: &Front, view: &GroupView) -> Value {
+    let member = |(at, of): (usize, &MemberView)| {
+        let mut member = json!({"member": at});
+        if let Some(job) = of.job {
+            member["job"] = json!(id(job));
+        }
+        if let Some(of_job) = of.phase {
+            member["phase"] = json!(phase(of_job));
+        }
+        if let Some(machine) = &of.machine {
+            member["machine"] = json!(machine);
+        }
+        if !of.unreachable.is_empty() {
+            member["unreachable"] = json!(of.unreachable);
+        }
+        member
+    };
+    let members: Vec<Value> = view.members.iter().enumerate().map(member).collect();
+    let mut group = json!({
+        "kind": "Group",
+        "id": format!("{:016x}", view.id.0),
+        "resourceVersion": front.version(view.version),
+        "deadline": stamp(view.deadline),
+        "status": {"phase": format!("{:?}", view.phase), "tries": view.tries, "members": members},
+    });
+    if let Some(key) = &view.key {
+        group["idempotencyKey"] = json!(key);
+    }
+    let answer = view.answer.map(|answer| match answer {
+        groups::Answer::Placed => "placed",
+        groups::Answer::Refused { .. } => "refused",
+        groups::Answer::Failed { .. } => "failed",
+    });
+    if let Some(answer) = answer {
+        group["status"]["answer"] = json!(answer);
+    }
+    if let Some(why) = view.why {
+        group["status"]["reason"] = json!(given_up(why));
+    }
+    if let Some(groups::Answer::Refused { retry_in_s, .. }) = view.answer {
+        group["status"]["retryAfterMs"] = json!((retry_in_s * 1e3).round() as u64);
+    }
+    group
+}
+
+/// Why a group was given up, in words.
+pub fn given_up(why: groups::Why) -> &'static str {
+    match why {
+        groups::Why::NoRoom => "there is no room for the whole group",
+        groups::Why::Refused => "a member was refused",
+        groups::Why::Failed => "a member failed",
+        groups::Why::Lost => "a member was lost",
+        groups::Why::Partial => "it did not stand whole in time",
+        groups::Why::Deadline => "its deadline passed",
+        groups::Why::Cancelled => "its owner gave it up",
+        groups::Why::Stopping => "the planner is stopping",
+    }
+}
+
 /// A machine as an object.
 pub(super) fn machine(front: &Front, view: &MachineView) -> Value {
     let mut machine = json!({
--- a/src/wire/rest/watch.rs
+++ b/src/wire/rest/watch.rs
@@ -28,6 +28,18 @@
 pub enum Kind {
     Jobs,
     Machines,
+    Groups,
+}
+
+impl Kind {
+    /// The name of its list.
+    fn list_name(self) -> &'static str {
+        match self {
+            Kind::Jobs => "JobList",
+            Kind::Machines => "MachineList",
+            Kind::Groups => "GroupList",
+        }
+    }
 }
 
 /// The query of a list or watch.
@@ -45,9 +57,11 @@
     match asked.watch.as_deref() {
         None | Some("false" | "0") => {
             let (items, version) = snapshot(&front, kind);
-            let name = if kind == Kind::Jobs { "JobList" } else { "MachineList" };
             let version = front.version(version);
-            Ok(answers::json(200, &json!({"kind": name, "resourceVersion": version, "items": items})))
+            Ok(answers::json(
+                200,
+                &json!({"kind": kind.list_name(), "resourceVersion": version, "items": items}),
+            ))
         }
         Some("true" | "1" | "") => watch(front, kind, asked),
         Some(other) => Err(Problem::bad(&format!("watch: {other:?} is neither true nor false"))),
@@ -56,16 +70,27 @@
 
 /// All that is there now, and the version that it is at.
 fn snapshot(front: &Front, kind: Kind) -> (Vec<Value>, u64) {
-    let (jobs, machines, version) = {
-        let inner = front.hub.lock();
-        let version = inner.core.history().version();
-        match kind {
-            Kind::Jobs => (inner.core.job_views(), Vec::new(), version),
-            Kind::Machines => (Vec::new(), inner.core.machine_views(), version),
+    let inner = front.hub.lock();
+    let (core, version) = (&inner.core, inner.core.history().version());
+    let objects = match kind {
+        Kind::Jobs => core.job_views().into_iter().map(|v| Object::Job(Arc::new(v))).collect(),
+        Kind::Machines => core.machine_views().into_iter().map(|v| Object::Machine(Arc::new(v))).collect(),
+        Kind::Groups => {
+            core.group_views().into_iter().map(|v| Object::Group(Arc::new(v))).collect::<Vec<_>>()
         }
     };
-    let jobs = jobs.iter().map(|j| objects::job(front, j));
-    (jobs.chain(machines.iter().map(|m| objects::machine(front, m))).collect(), version)
+    drop(inner);
+    (objects.iter().filter_map(|object| worded(front, kind, object)).collect(), version)
+}
+
+/// An object in words, where it is of the kind that was asked for.
+fn worded(front: &Front, kind: Kind, object: &Object) -> Option<Value> {
+    match (object, kind) {
+        (Object::Job(view), Kind::Jobs) => Some(objects::job(front, view)),
+        (Object::Machine(view), Kind::Machines) => Some(objects::machine(front, view)),
+        (Object::Group(view), Kind::Groups) => Some(objects::group(front, view)),
+        _ => None,
+    }
 }
 
 /// Reads a version of this life.
@@ -169,11 +194,7 @@
     fn take(&mut self, batch: &[Change], out: &mut Vec<u8>) -> bool {
         for change in batch {
             self.version = change.version;
-            let object = match (&change.object, self.kind) {
-                (Object::Job(view), Kind::Jobs) => objects::job(&self.front, view),
-                (Object::Machine(view), Kind::Machines) => objects::machine(&self.front, view),
-                _ => continue,
-            };
+            let Some(object) = worded(&self.front, self.kind, &change.object) else { continue };
             let kind = match change.kind {
                 ChangeKind::Added => "ADDED",
                 ChangeKind::Modified => "MODIFIED",
