Take groups in mixes and by route, and let a keyed member be tried again in its window

Need: operators rehearse with mixes, set groups by route, and a keyed member whose first copy was proved gone was refused for good in the second try of its group, as the guard took the first one's risk for its own.

--- a/src/decide/groups/settings.rs
+++ b/src/decide/groups/settings.rs
@@ -1,6 +1,7 @@
 //! The section `groups` of the operators' file: what a group may ask for and how it is handled.
 
 use super::{OnLoss, Policy};
+use crate::decide::limits::Pattern;
 use crate::document::{Item, Section};
 use crate::placer::Seconds;
 
@@ -79,7 +80,7 @@
 }
 
 /// The whole section.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct GroupSettings {
     /// Groups that are open at once.
     pub open: usize,
@@ -87,26 +88,37 @@
     pub default: Figures,
     /// By class of the settings.
     pub classes: Vec<Option<Figures>>,
+    /// For groups whose members all have such a service; the first that matches wins.
+    pub routes: Vec<(Pattern, Figures)>,
 }
 
 impl GroupSettings {
-    /// What holds for a group with members of these classes: the tightest of theirs.
-    pub fn figures(&self, classes: impl IntoIterator<Item = usize>) -> Figures {
+    /// What holds for a group with members of these classes and services: its route's, else the tightest of its
+    /// classes'.
+    pub fn figures(&self, members: &[(usize, &str)]) -> Figures {
+        let takes = |route: &&(Pattern, Figures)| members.iter().all(|(_, service)| route.0.matches(service));
+        if let Some((_, figures)) = self.routes.iter().find(takes) {
+            return *figures;
+        }
         let of = |class: usize| self.classes.get(class).copied().flatten().unwrap_or(self.default);
-        classes.into_iter().map(of).reduce(Figures::tighter).unwrap_or(self.default)
+        members.iter().map(|(class, _)| of(*class)).reduce(Figures::tighter).unwrap_or(self.default)
     }
 }
 
 /// Reads the section; its faults go to the item's sink. `classes` are the names of the settings' classes.
 pub fn read(item: &Item<'_>, classes: &[String]) -> Option<GroupSettings> {
     let section = item.section()?;
-    let mut own =
-        GroupSettings { open: 1000, default: Figures::default(), classes: vec![None; classes.len()] };
+    let mut own = GroupSettings {
+        open: 1000,
+        default: Figures::default(),
+        classes: vec![None; classes.len()],
+        routes: vec![],
+    };
     if let Some(open) = section.get("maxOpen").and_then(|i| i.count(1..=MOST_OPEN)) {
         own.open = open as usize;
     }
     if let Some(default) = section.get("default").and_then(|i| i.section()) {
-        own.default = figures(&default, own.default);
+        own.default = figures(&default, own.default, &[]);
     }
     if let Some(by_class) = section.get("classes").and_then(|i| i.section()) {
         for (member, item) in by_class.all() {
@@ -115,14 +127,24 @@
                 item.unknown(&member.name, &known);
                 continue;
             };
-            own.classes[class] = item.section().map(|section| figures(&section, own.default));
+            own.classes[class] = item.section().map(|section| figures(&section, own.default, &[]));
+        }
+    }
+    for item in section.get("routes").and_then(|i| i.list()).unwrap_or_default() {
+        let Some(route) = item.section() else { continue };
+        let service = route.need("service").and_then(|i| i.text());
+        let of_route = figures(&route, own.default, &["service"]);
+        let Some(service) = service.map(Pattern::new) else { continue };
+        if own.routes.iter().any(|(before, _)| before.covers(&service)) {
+            item.fault("is never taken: a route before it takes all its services");
         }
+        own.routes.push((service, of_route));
     }
     section.close(|_| None);
     Some(own)
 }
 
-fn figures(section: &Section<'_>, from: Figures) -> Figures {
+fn figures(section: &Section<'_>, from: Figures, more: &[&'static str]) -> Figures {
     let mut own = from;
     let count = |name, most| section.get(name).and_then(|i| i.count(1..=most));
     if let Some(n) = count("maxMembers", MOST_MEMBERS) {
@@ -154,6 +176,9 @@
             own.pause_s = (least / 1e3, most / 1e3);
         }
     }
+    for name in more {
+        section.get(name);
+    }
     section.close(|_| None);
     own
 }
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -19,9 +19,11 @@
         job.attempts += 1;
         let ready = self.nodes.get(&machine).is_some_and(|n| n.entry.standing == Standing::Ready);
         let limits = job.task.limits;
+        // A group tries a member again only once its earlier copy is proved gone; the window holds all the same.
+        let of_group = matches!(job.owner, Owner::Group { .. });
         let in_window = match (self.settings.classes[job.task.class].effect, job.risky_since) {
             (_, None) => true,
-            (_, Some(_)) if !limits.copies => false,
+            (_, Some(_)) if !limits.copies && (job.own_risk || !of_group) => false,
             (Effect_::Repeatable, _) => true,
             (Effect_::Once, Some(_)) => false,
             (Effect_::Keyed { window_s, .. }, Some(since)) => now < since + window_s.min(limits.window_s),
@@ -61,7 +63,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let Some(trial) = job.trial.take_if(|t| t.machine == at && t.left) else { return };
         (job.phase, job.machine, job.placed_at) = (Phase::Running, Some(at), now);
-        job.risky_since = job.risky_since.or(Some(trial.at));
+        job.may_have_run(trial.at);
         let (owner, service) = (job.owner, job.task.service);
         self.groups.starts.learn(now, service, now - trial.at);
         self.answered(now, id);
@@ -89,7 +91,7 @@
         let Some(trial) = job.trial.take() else { return };
         job.last = Some((outcome, why));
         if !outcome.never_ran() {
-            job.risky_since = job.risky_since.or(Some(trial.at));
+            job.may_have_run(trial.at);
             if matches!(job.owner, Owner::Group { .. }) {
                 // No copy of a member may run on that its group does not know of.
                 effects.push(Effect::Stop { machine: trial.machine, job: id, cause: CUT });
@@ -136,7 +138,7 @@
         let job = self.jobs.get_mut(&id)?;
         let trial = job.trial.take()?;
         if trial.left {
-            job.risky_since = job.risky_since.or(Some(trial.at));
+            job.may_have_run(trial.at);
         }
         effects.push(Effect::GiveUp { machine: trial.machine, job: id });
         if trial.left && matches!(job.owner, Owner::Group { .. }) {
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -457,3 +457,21 @@
         }
     }
 }
+
+/// Guards a keyed member whose earlier try may have run: the whole is tried again once that is proved gone, inside the
+/// member's window, and no copy is ever beside another.
+#[test]
+fn a_keyed_member_is_tried_again_in_its_window() {
+    let mut world = World::new(13, 2);
+    world.fail = 1.0;
+    let id = world.group(1, 3, 1.0, OnLoss::Keep);
+    world.run(0.01);
+    world.fail = 0.0;
+    // A second is what a refused member is told to stay away.
+    world.run(1.2);
+    let view = world.view(id);
+    assert_eq!((view.answer, view.tries), (Some(Answer::Placed), 2), "{view:?}");
+    let keyed = view.members[2].job.and_then(|job| world.core.job(job)).expect("a job");
+    assert!(keyed.risky_since.is_some_and(|since| since < 100.02), "it stays in the window of its first try");
+    assert!(world.partial(&BTreeMap::from([(id, 3)])).iter().all(|time| *time <= 1.0));
+}
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -17,6 +17,14 @@
 /// Multiple. No owner waits longer than so many times what its class usually waits.
 const MOST_WAIT_TIMES: f64 = 8.0;
 
+impl Job {
+    /// Books that an attempt which went out at that time may have run.
+    pub(super) fn may_have_run(&mut self, at: Seconds) {
+        self.risky_since = self.risky_since.or(Some(at));
+        self.own_risk = true;
+    }
+}
+
 /// An attempt that is out.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Trial {
@@ -47,6 +55,8 @@
     pub retry_in_s: Seconds,
     /// When the first attempt went out that may have run.
     pub risky_since: Option<Seconds>,
+    /// Whether that was an attempt of this very job, and not of one before it under its key.
+    pub(super) own_risk: bool,
     /// Version of its last change.
     pub version: u64,
     /// The limit by which it was given up.
@@ -152,6 +162,7 @@
             last: None,
             retry_in_s: 0.0,
             risky_since,
+            own_risk: false,
             version: 0,
             turned: None,
             ticket: None,
--- a/src/wire/import/mod.rs
+++ b/src/wire/import/mod.rs
@@ -16,7 +16,7 @@
 pub mod access_log;
 pub mod har;
 
-use crate::wire::rest::{digest, NewJob};
+use crate::wire::rest::{digest, NewGroup, NewJob};
 use chrono::{DateTime, FixedOffset};
 use serde::{Deserialize, Serialize};
 
@@ -40,17 +40,60 @@
     pub why: String,
 }
 
-/// One job of a mix.
+/// What a line of a mix asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Work {
+    /// One job.
+    Job(NewJob),
+    /// A group, all or nothing.
+    Group(NewGroup),
+}
+
+/// One job or group of a mix.
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
-#[serde(rename_all = "camelCase", deny_unknown_fields)]
+#[serde(try_from = "MixLine", into = "MixLine")]
 pub struct MixJob {
     /// Milliseconds since the first.
     pub at_ms: u64,
-    /// The Idempotency-Key, in keyed classes.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    /// The Idempotency-Key, in keyed classes and where a group has one.
     pub key: Option<String>,
-    /// The job itself.
-    pub job: NewJob,
+    /// What it asks for.
+    pub work: Work,
+}
+
+/// A line as it is written: a job or a group.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+struct MixLine {
+    at_ms: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    key: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    job: Option<NewJob>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    group: Option<NewGroup>,
+}
+
+impl TryFrom<MixLine> for MixJob {
+    type Error = &'static str;
+    fn try_from(line: MixLine) -> Result<MixJob, &'static str> {
+        let work = match (line.job, line.group) {
+            (Some(job), None) => Work::Job(job),
+            (None, Some(group)) => Work::Group(group),
+            _ => return Err("exactly one of job and group is expected"),
+        };
+        Ok(MixJob { at_ms: line.at_ms, key: line.key, work })
+    }
+}
+
+impl From<MixJob> for MixLine {
+    fn from(of: MixJob) -> MixLine {
+        let (job, group) = match of.work {
+            Work::Job(job) => (Some(job), None),
+            Work::Group(group) => (None, Some(group)),
+        };
+        MixLine { at_ms: of.at_ms, key: of.key, job, group }
+    }
 }
 
 /// What the mapping does not find in a request.
@@ -85,14 +128,14 @@
         MixJob {
             at_ms: (request.at - first).num_milliseconds().max(0) as u64,
             key: (!stateless).then(|| format!("{:016x}", digest(words.as_bytes()))),
-            job: NewJob {
+            work: Work::Job(NewJob {
                 class: if stateless { self.stateless.clone() } else { self.keyed.clone() },
                 service: if service.is_empty() { "root".into() } else { service },
                 cores: step(request.took_ms.unwrap_or(0.0), [100.0, 300.0, 1000.0], [0.25, 0.5, 1.0, 2.0]),
                 memory: step(request.bytes.unwrap_or(0) as f64, [1e4, 1e5, 1e6], [0.5, 1.5, 2.0, 3.0]),
                 deadline_ms: self.deadline_ms,
                 description: format!("{} {path}", request.method),
-            },
+            }),
         }
     }
 }
--- a/src/wire/rest/groups.rs
+++ b/src/wire/rest/groups.rs
@@ -152,7 +152,9 @@
         }
         members.push((Arc::new(spec), task));
     }
-    let figures = settings.figures(members.iter().map(|(_, task)| task.class));
+    let of: Vec<(usize, &str)> =
+        members.iter().map(|(spec, task)| (task.class, spec.service.as_str())).collect();
+    let figures = settings.figures(&of);
     if members.len() > figures.members {
         let detail = format!("a group of {} members; up to {} are taken", members.len(), figures.members);
         return Err(Problem::bad(&detail));
--- a/src/wire/rest/mod.rs
+++ b/src/wire/rest/mod.rs
@@ -11,6 +11,7 @@
 mod watch;
 
 pub use client::loopback;
+pub use groups::NewGroup;
 pub use objects::{digest, NewJob};
 pub use submit::{count, submit};
 
--- a/src/wire/rest/submit.rs
+++ b/src/wire/rest/submit.rs
@@ -1,7 +1,7 @@
 //! Submits a mix to a planner, a bounded number of jobs at once, and tells how each one ended.
 
 use super::client::{call, Call, CallError, Reply};
-use crate::wire::import::MixJob;
+use crate::wire::import::{MixJob, Work};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -35,8 +35,11 @@
 }
 
 async fn one(number: usize, url: String, job: MixJob) -> Ended {
-    let body = serde_json::to_vec(&job.job).ok();
-    let request = Call { method: "POST", url: format!("{url}/v1/jobs"), key: job.key, body };
+    let (path, body) = match &job.work {
+        Work::Job(job) => ("jobs", serde_json::to_vec(job).ok()),
+        Work::Group(group) => ("groups", serde_json::to_vec(group).ok()),
+    };
+    let request = Call { method: "POST", url: format!("{url}/v1/{path}"), key: job.key, body };
     match follow(request).await {
         Ok(reply) => {
             let body: Value = serde_json::from_slice(&reply.body).unwrap_or(Value::Null);
--- /dev/null
+++ b/tests/groups.rs
@@ -0,0 +1,200 @@
+//! Groups on the wire: every status, keys, watches, a mix, and a stop mid-way.
+
+use burlhook_lab::node::{Act, Node, Plan, What};
+use burlhook_lab::planner::{config, Planner, Program};
+use burlhook_lab::Clock;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const FILE: &str = "{rest: {listen: '127.0.0.1:0'}, groups: {default: {maxMembers: 8, tries: 1}}}";
+
+fn rig(file: &str, slots: usize) -> (Vec<Node>, Planner, SocketAddr) {
+    let clock = Clock::start();
+    let plan =
+        |at: usize| Plan { name: format!("n{at}"), slots, life_ms: (60_000, 60_000), ..Plan::default() };
+    let node = |at| Node::start("127.0.0.1:0", plan(at), clock).expect("a node");
+    let nodes: Vec<Node> = (0..3).map(node).collect();
+    let addresses: Vec<SocketAddr> = nodes.iter().map(|n| n.address()).collect();
+    let program = Program::at(env!("CARGO_BIN_EXE_burlhook"));
+    let planner = Planner::start(&program, &config(&addresses, 3), Some(file)).expect("a planner");
+    let rest = planner.rest.expect("a REST front");
+    (nodes, planner, rest)
+}
+
+fn send(to: SocketAddr, head: &str, key: Option<&str>, body: &Value) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("a connection");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+    let key = key.map(|k| format!("Idempotency-Key: {k}\r\n")).unwrap_or_default();
+    let body = body.to_string();
+    let length = body.len();
+    let text = format!(
+        "{head} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n{key}Content-Length: {length}\r\n\r\n{body}"
+    );
+    stream.write_all(text.as_bytes()).expect("sent");
+    stream
+}
+
+fn read(mut stream: TcpStream) -> (u16, Value) {
+    let mut said = String::new();
+    stream.read_to_string(&mut said).expect("an answer");
+    let status = said.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status");
+    let body = said.split_once("\r\n\r\n").expect("a body").1;
+    (status, serde_json::from_str(body).expect("JSON"))
+}
+
+fn call(to: SocketAddr, head: &str, key: Option<&str>, body: &Value) -> (u16, Value) {
+    read(send(to, head, key, body))
+}
+
+fn group(members: usize, cores: f64) -> Value {
+    let member = |at: usize| {
+        json!({"class": if at.is_multiple_of(2) { "stateless" } else { "keyed" }, "service": "match", "cores": cores,
+            "memory": cores, "description": format!("POST /match/{at}")})
+    };
+    let members: Vec<Value> = (0..members).map(member).collect();
+    json!({"members": members, "deadlineMs": 3000, "onLoss": "cut"})
+}
+
+/// Guards clients: each way to end has a status of its own, a retry joins its group, and a cancel ends every member.
+#[test]
+fn every_way_to_end_has_its_status() {
+    let (nodes, _planner, rest) = rig(FILE, 40);
+    let post = |key: Option<&str>, body: &Value| call(rest, "POST /v1/groups", key, body);
+    let (status, placed) = post(Some("night"), &group(4, 1.0));
+    assert_eq!((status, &placed["status"]["answer"]), (201, &json!("placed")), "{placed}");
+    let members = placed["status"]["members"].as_array().expect("members");
+    assert!(members.iter().all(|m| m["phase"] == "Running" && m["machine"].is_string()), "{placed}");
+    assert_eq!(nodes.iter().map(|n| n.standing()).sum::<usize>(), 4);
+    let (status, joined) = post(Some("night"), &group(4, 1.0));
+    assert_eq!((status, &joined["id"]), (200, &placed["id"]));
+    assert_eq!(post(Some("night"), &group(3, 1.0)).0, 422);
+    // No room, ever; and members that cannot be understood, by number.
+    let (status, refused) = post(Some("large"), &group(8, 60.0));
+    assert_eq!((status, &refused["type"]), (429, &json!("urn:burlhook:problem:group-refused")), "{refused}");
+    assert!(refused["retryAfterMs"].as_u64().is_some_and(|ms| ms > 0), "{refused}");
+    let mut bad = group(2, 1.0);
+    bad["members"][1]["class"] = json!("none");
+    let (status, told) = post(Some("bad"), &bad);
+    assert_eq!((status, &told["detail"]), (400, &json!("member 1: there is no class \"none\"")));
+    assert_eq!(post(Some("many"), &group(9, 1.0)).0, 400);
+    assert_eq!(post(None, &group(2, 1.0)).0, 400, "a keyed member has no key");
+    // Members are jobs; a cancel cuts them all.
+    let job = members[0]["job"].as_str().expect("a job");
+    assert_eq!(
+        call(rest, &format!("GET /v1/jobs/{job}"), None, &Value::Null).1["status"]["phase"],
+        "Running"
+    );
+    let id = placed["id"].as_str().expect("an id");
+    assert_eq!(call(rest, &format!("DELETE /v1/groups/{id}"), None, &Value::Null).0, 200);
+    let cut = || nodes.iter().map(|n| n.ledger().count(|w| *w == What::Cut)).sum::<usize>();
+    let started = std::time::Instant::now();
+    while cut() < 4 {
+        assert!(started.elapsed() < Duration::from_secs(10), "{} of 4 were cut", cut());
+        std::thread::yield_now();
+    }
+    assert_eq!(call(rest, "GET /v1/groups/0000000000000001", None, &Value::Null).0, 404);
+}
+
+/// Guards clients that post at the same time under one key: one group, one copy of each member.
+#[test]
+fn the_same_group_at_once_is_one_group() {
+    let (nodes, _planner, rest) = rig(FILE, 40);
+    let body = group(6, 1.0);
+    let said: Vec<(u16, Value)> = std::thread::scope(|scope| {
+        let asks: Vec<_> =
+            (0..8).map(|_| scope.spawn(|| call(rest, "POST /v1/groups", Some("one"), &body))).collect();
+        asks.into_iter().map(|ask| ask.join().expect("no panic")).collect()
+    });
+    assert!(
+        said.iter().all(|(status, of)| matches!(status, 200 | 201) && of["id"] == said[0].1["id"]),
+        "{said:?}"
+    );
+    assert_eq!(said.iter().filter(|(status, _)| *status == 201).count(), 1);
+    assert_eq!(nodes.iter().map(|n| n.ledger().asks()).sum::<usize>(), 6);
+}
+
+/// Guards operators who have not turned groups on, and those who do by a reload.
+#[test]
+fn groups_are_off_without_their_section() {
+    let (_nodes, planner, rest) = rig("{rest: {listen: '127.0.0.1:0'}}", 40);
+    let post = || call(rest, "POST /v1/groups", Some("a"), &group(2, 1.0)).0;
+    assert_eq!(post(), 404);
+    planner.reload(FILE).expect("a reload");
+    let started = std::time::Instant::now();
+    while post() == 404 {
+        assert!(started.elapsed() < Duration::from_secs(10), "never turned on");
+    }
+    assert_eq!(post(), 200);
+}
+
+/// Guards a watcher: every change of a group comes, in order, and the last one holds its answer.
+#[test]
+fn a_group_can_be_watched() {
+    let (_nodes, _planner, rest) = rig(FILE, 40);
+    let mut watch = BufReader::new(send(rest, "GET /v1/groups?watch=true", None, &Value::Null));
+    let mut line = String::new();
+    while line != "\r\n" {
+        line.clear();
+        watch.read_line(&mut line).expect("a head");
+    }
+    call(rest, "POST /v1/groups", Some("seen"), &group(3, 1.0));
+    let mut phases: Vec<String> = Vec::new();
+    loop {
+        line.clear();
+        watch.read_line(&mut line).expect("a change");
+        let Ok(change) = serde_json::from_str::<Value>(&line) else { continue };
+        let status = &change["object"]["status"];
+        let Some(phase) = status["phase"].as_str() else { continue };
+        phases.push(phase.to_string());
+        if status["answer"] == "placed" {
+            break;
+        }
+    }
+    phases.dedup();
+    assert_eq!(phases, ["Admitting", "Placing", "Standing"]);
+}
+
+/// Guards what a stop leaves: a group that waits for a machine that hangs is cut and answered before the planner ends.
+#[test]
+fn a_stop_midway_answers_and_cuts() {
+    let (nodes, planner, rest) = rig(FILE, 40);
+    nodes.iter().for_each(|node| node.act(Act::Hang));
+    let waits = send(rest, "POST /v1/groups", Some("stop"), &group(6, 1.0));
+    let started = std::time::Instant::now();
+    while nodes.iter().map(|n| n.ledger().asks()).sum::<usize>() < 6 {
+        assert!(started.elapsed() < Duration::from_secs(10), "nothing was sent");
+        std::thread::yield_now();
+    }
+    planner.stop(Duration::from_secs(20)).expect("it ends well");
+    let (status, said) = read(waits);
+    assert_eq!((status, &said["detail"]), (502, &json!("the planner is stopping")), "{said}");
+    // The orders to cut have come to each, though none has done anything about them.
+    let told: usize =
+        nodes.iter().map(|n| n.ledger().count(|w| matches!(w, What::Stopped | What::Closed))).sum();
+    assert!(told >= 6, "{told}");
+}
+
+/// Guards operators who rehearse: a mix holds groups beside jobs, and a line that is neither is told.
+#[test]
+fn a_mix_holds_groups() {
+    let (_nodes, _planner, rest) = rig(FILE, 40);
+    let job = json!({"class": "stateless", "service": "s", "cores": 1, "memory": 1, "deadlineMs": 2000});
+    let lines = [
+        json!({"atMs": 0, "job": job}),
+        json!({"atMs": 1, "key": "g", "group": group(2, 1.0)}),
+        json!({"atMs": 2, "key": "h", "group": group(8, 60.0)}),
+        json!({"atMs": 3, "job": job, "group": group(2, 1.0)}),
+    ];
+    let path = std::env::temp_dir().join(format!("burlhook-groups-{}.jsonl", std::process::id()));
+    std::fs::write(&path, lines.map(|l| l.to_string()).join("\n")).expect("a mix");
+    let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_burlhook"));
+    let output =
+        command.args(["submit", "--url", &format!("http://{rest}")]).arg(&path).output().expect("it runs");
+    std::fs::remove_file(&path).expect("the mix goes");
+    let said = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert!(said.starts_with("1 201 Running\n2 201 Standing\n3 429 there is no room"), "{said}");
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(told.contains(":4: exactly one of job and group is expected"), "{told}");
+}
