Cut a group whose only owner leaves, and have the rig's nodes report what is asked of them

Need: a client that leaves without a key can never ask for its group again, and its members ran on; in the soak a node that was full once counted as full for good, as nothing renewed the planner's view of it.

--- a/benches/limits.rs
+++ b/benches/limits.rs
@@ -2,48 +2,21 @@
 //!
 //! `cargo bench --bench limits`
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
 use burlhook::decide::limits::{
     Budget, Figures, Front, Limits, Matching, Model, Pattern, Rate, Route, Subject, Table,
 };
-use burlhook::{Class, Effect, Kind, Place, ReportSource, Room, Settings};
+use burlhook::{Effect, Place, Room, Settings};
 use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
 use std::hint::black_box;
 use std::sync::Arc;
 
 fn settings() -> Settings {
-    let class = |effect| Class {
-        effect,
-        deadline_s: 8.0,
-        on_time_s: 1.0,
-        late_share: 0.1,
-        importance: 1.0,
-        prompt_start_s: 8.0,
-        spread: None,
-        kind: None,
-    };
-    Settings {
-        classes: vec![class(Effect::Repeatable), class(Effect::Keyed { group: Place::All, window_s: 6.0 })],
-        kinds: vec![Kind { size: Room { cores: 10.0, memory: 20.0 } }],
-        tenants: vec![],
-        zone: None,
-        placers: 1,
-        ask_for_list: false,
-        ask_every_s: 10.0,
-        list_shows_room: true,
-        cores_multiple: 1.0,
-        memory_multiple: 1.0,
-        confirms_running: false,
-        reports: ReportSource::Silent,
-        reports_used: false,
-        probes: true,
-        max_attempts: 4,
-        cold_bears: 10.0,
-        fall_s: 3.0,
-        warm_within_s: 18.0,
-        tick_s: 0.002,
-        over_share_worth: 0.1,
-        cross_zone_price: 0.0,
-    }
+    let mut settings = common::settings(Effect::Repeatable);
+    settings.classes.extend(common::settings(Effect::Keyed { group: Place::All, window_s: 6.0 }).classes);
+    settings
 }
 
 fn figures() -> Figures {
--- a/lab/src/node/connection.rs
+++ b/lab/src/node/connection.rs
@@ -163,7 +163,8 @@
 }
 
 fn load(state: &State) -> String {
-    format!("x0:{};x1:{};queue:{}", state.free(), 2 * state.free(), state.waits())
+    let (cores, memory, line) = state.report();
+    format!("x0:{cores};x1:{memory};queue:{line}")
 }
 
 /// Starts a task, tells of it, and ends it after its life.
--- a/lab/src/node/plan.rs
+++ b/lab/src/node/plan.rs
@@ -65,6 +65,8 @@
     pub stall_ms: Times,
     /// So long a key is remembered: a repeat within it is dropped where a copy stands or starts.
     pub window: Duration,
+    /// Cores and memory of the node, and of a task of the rig: reports tell what nobody asked for. Free slots if absent.
+    pub reports: Option<((f64, f64), (f64, f64))>,
     /// What becomes of a task is said by the path in its description, and by nothing that is drawn: `/run` runs on,
     /// `/end` ends at once, `/lose` runs and is lost, `/full` is refused, `/error` fails, all else is never answered.
     pub by_path: bool,
@@ -90,6 +92,7 @@
             stall: 0.0,
             stall_ms: (50, 400),
             window: Duration::from_secs(6),
+            reports: None,
             by_path: false,
             script: Vec::new(),
         }
--- a/lab/src/node/state.rs
+++ b/lab/src/node/state.rs
@@ -109,13 +109,15 @@
         self.copies.values().filter(|c| c.runs).count()
     }
 
-    /// Room that is left, for reports.
-    pub fn free(&self) -> usize {
-        self.plan.slots.saturating_sub(self.copies.len())
-    }
-
-    pub fn waits(&self) -> usize {
-        self.line.len()
+    /// A report's figures: room that nobody asked for, below 0 where more was accepted than the node has, and the line.
+    pub fn report(&self) -> (f64, f64, usize) {
+        let copies = self.copies.len() as f64;
+        let free = self.plan.slots as f64 - copies;
+        let (cores, memory) = match self.plan.reports {
+            Some((size, task)) => (size.0 - copies * task.0, size.1 - copies * task.1),
+            None => (free, 2.0 * free),
+        };
+        (cores, memory, self.line.len())
     }
 
     pub fn hangs(&self) -> bool {
--- a/lab/src/rigs/groups.rs
+++ b/lab/src/rigs/groups.rs
@@ -20,6 +20,9 @@
 /// Tasks of the rig's size that a node holds; the planner knows of as many.
 const SLOTS: usize = 40;
 
+/// Cores and memory of every task of the rig.
+const TASK: (f64, f64) = (2.0, 3.0);
+
 /// What the rig does.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -128,8 +131,8 @@
 }
 
 fn member(group: usize, at: usize, of: usize, keyed: bool) -> Value {
-    json!({"class": if keyed { "keyed" } else { "stateless" }, "service": format!("pipeline-{}", at % 4), "cores": 2.0,
-        "memory": 3.0, "description": format!("POST /pipeline/{group}/{at}/{of}")})
+    json!({"class": if keyed { "keyed" } else { "stateless" }, "service": format!("pipeline-{}", at % 4), "cores": TASK.0,
+        "memory": TASK.1, "description": format!("POST /pipeline/{group}/{at}/{of}")})
 }
 
 /// Group, member and number of members from a member's description.
@@ -207,13 +210,17 @@
         slots: SLOTS,
         starts: 16,
         life_ms: (1500, 2500),
+        reports: Some(((40.0, 80.0), TASK)),
         refuse: 0.01 * faults,
         fail: 0.003 * faults,
         ..Plan::default()
     };
     let nodes = nodes(options.nodes, clock, plan)?;
     let addresses: Vec<SocketAddr> = nodes.iter().map(|n| n.address()).collect();
-    let planner = Planner::start(program, &config(&addresses, options.seed), Some(FILE))?;
+    let mut config = config(&addresses, options.seed);
+    // Nobody else asks here and no list comes: what is free follows from the nodes' reports.
+    config["settings"]["family_info"]["free_by"] = json!("asked");
+    let planner = Planner::start(program, &config, Some(FILE))?;
     let rest = planner.rest.ok_or_else(|| io::Error::other("no REST front"))?;
     let ordinary = (options.load * (SLOTS * options.nodes) as f64 / 2.0).max(1.0);
     let shape = Shape {
@@ -224,7 +231,7 @@
         deadline: Duration::from_secs(5),
         services: (0..8).map(|n| format!("search-{n}")).collect(),
         seed: options.seed,
-        room: (2.0, 3.0),
+        room: TASK,
         patience: Duration::from_secs(3),
     };
     let done = AtomicBool::new(false);
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -89,10 +89,14 @@
     }
 
     fn list(&mut self, all: &[(u32, Standing)]) {
+        self.list_started(all, 0.0);
+    }
+
+    fn list_started(&mut self, all: &[(u32, Standing)], started: Seconds) {
         let notice = |&(n, standing): &(u32, Standing)| {
             let (machine, key) = (MachineId(n), MachineKey(u64::from(n)));
             let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 100.0, memory: 200.0 });
-            let entry = Entry { machine, key, zone, cell, kind: Some(0), standing, free, started: 0.0 };
+            let entry = Entry { machine, key, zone, cell, kind: Some(0), standing, free, started };
             Notice { entry, address: format!("a:{n}") }
         };
         self.tell(Input::List { kind: ListKind::Changes, notices: all.iter().map(notice).collect() });
@@ -475,3 +479,23 @@
     assert!(keyed.risky_since.is_some_and(|since| since < 100.02), "it stays in the window of its first try");
     assert!(world.partial(&BTreeMap::from([(id, 3)])).iter().all(|time| *time <= 1.0));
 }
+
+/// Guards owners and machines: one that went silent and comes back cold at its address holds nothing any more, and is not
+/// told to cut what it never had.
+#[test]
+fn a_machine_that_comes_back_cold_holds_nothing() {
+    let mut world = World::new(5, 2);
+    let id = world.group(1, 6, 1.0, OnLoss::Keep);
+    world.run(0.02);
+    world.machines[0].hangs = true;
+    world.run(1.3);
+    assert!(world.view(id).members.iter().any(|m| !m.unreachable.is_empty()));
+    world.died_or_reset(0, false);
+    let started = world.now;
+    world.machines[0].copies.clear();
+    world.list_started(&[(0, Standing::Ready)], started);
+    assert!(world.view(id).members.iter().all(|m| m.unreachable.is_empty()), "its process came up anew");
+    let mut effects = Vec::new();
+    world.core.apply(world.now, Input::LinkUp { machine: MachineId(0) }, &mut effects);
+    assert!(!effects.iter().any(|e| matches!(e, Effect::Stop { .. })), "{effects:?}");
+}
--- a/src/wire/rest/groups.rs
+++ b/src/wire/rest/groups.rs
@@ -88,9 +88,16 @@
     let body = jobs::whole_body(&front, body).await?;
     let new: NewGroup = serde_json::from_slice(&body).map_err(|e| Problem::bad(&e.to_string()))?;
     let key = jobs::key_of(&headers)?;
+    let keyless = key.is_none();
     let (group, joined) = enter(&front, &new, key)?;
     let view = match how.wait {
-        true => settled(&front, group).await,
+        true => {
+            // Who waits without a key can never ask for this group again: where it is gone, so is the group.
+            let owner = Waits { front: front.clone(), group, alone: keyless };
+            let view = settled(&front, group).await;
+            owner.was_told();
+            view
+        }
         false => front.hub.lock().core.group_view_of(group),
     };
     let view = view.ok_or_else(|| Problem::unknown("the group was forgotten while it was waited for"))?;
@@ -182,6 +189,27 @@
     Ok((group, false))
 }
 
+/// The only one who waits for a group; gives it up where it leaves before the answer.
+struct Waits {
+    front: Arc<Front>,
+    group: GroupId,
+    alone: bool,
+}
+
+impl Waits {
+    fn was_told(mut self) {
+        self.alone = false;
+    }
+}
+
+impl Drop for Waits {
+    fn drop(&mut self) {
+        if self.alone {
+            self.front.hub.apply(Input::CancelGroup { group: self.group });
+        }
+    }
+}
+
 /// Waits until the group has its final answer.
 async fn settled(front: &Front, group: GroupId) -> Option<GroupView> {
     let mut changes = front.hub.changes.subscribe();
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -162,11 +162,7 @@
     let (nodes, planner, rest) = rig(FILE, 40);
     nodes.iter().for_each(|node| node.act(Act::Hang));
     let waits = send(rest, "POST /v1/groups", Some("stop"), &group(6, 1.0));
-    let started = std::time::Instant::now();
-    while nodes.iter().map(|n| n.ledger().asks()).sum::<usize>() < 6 {
-        assert!(started.elapsed() < Duration::from_secs(10), "nothing was sent");
-        std::thread::yield_now();
-    }
+    until_sent(&nodes, 6);
     planner.stop(Duration::from_secs(20)).expect("it ends well");
     let (status, said) = read(waits);
     assert_eq!((status, &said["detail"]), (502, &json!("the planner is stopping")), "{said}");
@@ -176,6 +172,61 @@
     assert!(told >= 6, "{told}");
 }
 
+fn until_sent(nodes: &[Node], asks: usize) {
+    let started = std::time::Instant::now();
+    while nodes.iter().map(|n| n.ledger().asks()).sum::<usize>() < asks {
+        assert!(started.elapsed() < Duration::from_secs(10), "not all was sent");
+        std::thread::yield_now();
+    }
+}
+
+/// Guards machines against owners that leave mid-way: a group that nobody can ask for again is cut, one with a key goes on.
+#[test]
+fn an_owner_that_leaves_gives_up_what_it_alone_waits_for() {
+    let (nodes, _planner, rest) = rig(FILE, 40);
+    let mut body = group(6, 1.0);
+    (0..6).for_each(|at| body["members"][at]["class"] = json!("stateless"));
+    for key in [None, Some("kept")] {
+        let before: usize = nodes.iter().map(|n| n.ledger().asks()).sum();
+        nodes.iter().for_each(|node| node.act(Act::Hang));
+        let waits = send(rest, "POST /v1/groups", key, &body);
+        until_sent(&nodes, before + 6);
+        drop(waits);
+        // Where it is given up, the group is so before its machines say anything.
+        let started = std::time::Instant::now();
+        let over = loop {
+            let groups = call(rest, "GET /v1/groups", None, &Value::Null).1;
+            let last = groups["items"].as_array().and_then(|all| all.last().cloned()).expect("a group");
+            if last["status"]["answer"].is_string() {
+                break last;
+            }
+            if key.is_some() {
+                nodes.iter().for_each(|node| node.act(Act::Wake));
+            }
+            assert!(started.elapsed() < Duration::from_secs(10), "{last}");
+        };
+        let wanted = if key.is_none() { json!("failed") } else { json!("placed") };
+        assert_eq!(over["status"]["answer"], wanted, "{over}");
+        nodes.iter().for_each(|node| node.act(Act::Wake));
+    }
+}
+
+/// Guards a group over a reload that turns groups off while it is being placed: it ends as it was begun.
+#[test]
+fn a_reload_midway_changes_nothing_for_a_group() {
+    let (nodes, planner, rest) = rig(FILE, 40);
+    nodes.iter().for_each(|node| node.act(Act::Hang));
+    let waits = send(rest, "POST /v1/groups", Some("kept"), &group(6, 1.0));
+    until_sent(&nodes, 6);
+    planner.reload("{rest: {listen: '127.0.0.1:0'}}").expect("a reload");
+    let started = std::time::Instant::now();
+    while call(rest, "POST /v1/groups", Some("new"), &group(1, 1.0)).0 != 404 {
+        assert!(started.elapsed() < Duration::from_secs(10), "never turned off");
+    }
+    nodes.iter().for_each(|node| node.act(Act::Wake));
+    assert_eq!(read(waits).0, 201);
+}
+
 /// Guards operators who rehearse: a mix holds groups beside jobs, and a line that is neither is told.
 #[test]
 fn a_mix_holds_groups() {
