Test that a shrinking window holds for later keyed jobs alone

Need: a hard case of the limits had no test of its own: a file that shortens the window while a keyed job's first attempt may have run. Change: one test on the reducer, on its own clock. Result: the job keeps its window and is sent again; the one after it is not.

--- a/src/state/limits/tests.rs
+++ b/src/state/limits/tests.rs
@@ -361,3 +361,28 @@
     }
     assert_eq!(audit.core.gauges_kept(), 1);
 }
+
+/// Guards a keyed job whose first attempt may have run against a file that shrinks the window under it: it keeps its own,
+/// and only jobs that come later have the shorter one.
+#[test]
+fn a_window_that_shrinks_holds_for_later_jobs_alone() {
+    let of =
+        |window_s| figures(crate::decide::limits::Figures { window_s: Some(window_s), ..Default::default() });
+    let mut audit = audit(of(6.0));
+    for (launches, file) in [(2, Some(of(0.5))), (1, None)] {
+        audit.submit(1, "a", true);
+        let (job, machine, attempt, _) = audit.out(0).expect("a launch");
+        audit.jobs.get_mut(&job).expect("a job").left = true;
+        audit.tell(Input::Sent { job, attempt });
+        if let Some(file) = file {
+            audit.file(file);
+        }
+        audit.now += 1.0;
+        audit.ended(job, true);
+        let (before, after, why) = (Outcome::Error, Outcome::Ok, Reason::Unknown);
+        audit.tell(Input::Ended { machine, job, before, after, why, report: None });
+        assert_eq!(audit.jobs[&job].launches, launches, "a second after the first");
+        audit.tell(Input::Cancel { job, cause: 16 });
+        audit.ended(job, true);
+    }
+}
