Test what a killed planner leaves of a group that was being placed

Need: the last hard case of groups without a test: a planner killed while members are open at machines that hang. Result: nothing that was open runs once the machines go on.

--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -227,6 +227,26 @@
     assert_eq!(read(waits).0, 201);
 }
 
+/// Guards what a kill leaves: set-ups that were open go with their connections and never run; what stood runs on, which
+/// nothing but a disk could change.
+#[test]
+fn a_planner_killed_midway_starts_nothing_more() {
+    let (nodes, planner, rest) = rig(FILE, 40);
+    nodes[1..].iter().for_each(|node| node.act(Act::Hang));
+    let waits = send(rest, "POST /v1/groups", Some("killed"), &group(6, 1.0));
+    until_sent(&nodes, 6);
+    drop(planner);
+    let started = std::time::Instant::now();
+    while nodes.iter().any(|n| n.ledger().count(|w| *w == What::Closed) == 0) {
+        assert!(started.elapsed() < Duration::from_secs(10), "a connection outlives its planner");
+        std::thread::yield_now();
+    }
+    nodes.iter().for_each(|node| node.act(Act::Wake));
+    drop(waits);
+    let ran = |n: &Node| n.ledger().count(|w| matches!(w, What::Runs | What::RunsUntold));
+    assert_eq!(nodes[1..].iter().map(ran).sum::<usize>(), 0, "nothing that was open runs");
+}
+
 /// Guards operators who rehearse: a mix holds groups beside jobs, and a line that is neither is told.
 #[test]
 fn a_mix_holds_groups() {
