Drop a machine that groups never used, name places once, read a configuration once

Cause: read over: Event::Stands carried a machine that nothing read, filled with a placeholder and then looked up; the names of a file's places were written in two modules; a cut began without its member; limits explain read its file twice. Change: the event and the member state hold no machine, Origin::name serves gauges and explain, a cut is booked whole, one load of the configuration. No behaviour changes, no test loses an assertion.

--- a/src/decide/groups/mod.rs
+++ b/src/decide/groups/mod.rs
@@ -18,7 +18,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::placer::{MachineId, Seconds};
+use crate::placer::Seconds;
 
 /// Number of a member within its group, from 0.
 pub type MemberNo = usize;
@@ -123,8 +123,6 @@
     Stands {
         /// Which.
         member: MemberNo,
-        /// Where.
-        machine: MachineId,
     },
     /// A member is refused: no attempt of it ran, or each that may have is still to be proved gone.
     Refused {
@@ -185,8 +183,8 @@
     Waiting(Seconds),
     /// Handed in.
     Asked,
-    /// Stands there.
-    Stands(MachineId),
+    /// Stands.
+    Stands,
     /// Ran to its end.
     Finished,
     /// Told to go, or given up; not yet proved gone.
@@ -318,7 +316,7 @@
 
     /// Members that stand.
     pub fn standing(&self) -> impl Iterator<Item = MemberNo> + '_ {
-        self.of(|m| matches!(m, Member::Stands(_)))
+        self.of(|m| matches!(m, Member::Stands))
     }
 
     fn of(&self, is: fn(&Member) -> bool) -> impl Iterator<Item = MemberNo> + '_ {
@@ -351,7 +349,7 @@
             (Phase::Standing, Event::Cancel) => self.give_up(now, Why::Cancelled, actions),
             (Phase::Admitting | Phase::Placing, Event::Stop) => self.give_up(now, Why::Stopping, actions),
             (_, Event::Cancel | Event::Stop) => {}
-            (_, Event::Stands { member, machine }) => self.stands(now, member, machine, actions),
+            (_, Event::Stands { member }) => self.stands(now, member, actions),
             (_, Event::Refused { member, retry_in_s }) => {
                 self.retry_in_s = self.retry_in_s.max(retry_in_s);
                 self.turned(now, member, Why::Refused, actions);
@@ -382,14 +380,14 @@
         }
     }
 
-    fn stands(&mut self, now: Seconds, member: MemberNo, machine: MachineId, actions: &mut Vec<Action>) {
+    fn stands(&mut self, now: Seconds, member: MemberNo, actions: &mut Vec<Action>) {
         match self.members.get_mut(member) {
-            Some(state @ Member::Asked) => *state = Member::Stands(machine),
+            Some(state @ Member::Asked) => *state = Member::Stands,
             // Its answer crossed the cut: it is cut where it stands.
             Some(Member::Cutting) => actions.push(Action::Cut(member)),
             _ => {}
         }
-        let stands = self.members.get(member).is_some_and(|m| matches!(m, Member::Stands(_)));
+        let stands = self.members.get(member).is_some_and(|m| matches!(m, Member::Stands));
         if stands && self.phase == Phase::Placing && self.partial_since.is_none() {
             self.partial_since = Some(now);
         }
@@ -410,14 +408,14 @@
     }
 
     fn finished(&mut self, member: MemberNo) {
-        if let Some(state @ (Member::Stands(_) | Member::Cutting)) = self.members.get_mut(member) {
+        if let Some(state @ (Member::Stands | Member::Cutting)) = self.members.get_mut(member) {
             *state = Member::Finished;
             self.ran = true;
         }
     }
 
     fn lost(&mut self, now: Seconds, member: MemberNo, actions: &mut Vec<Action>) {
-        let Some(state @ Member::Stands(_)) = self.members.get_mut(member) else { return };
+        let Some(state @ Member::Stands) = self.members.get_mut(member) else { return };
         // The machine may only be out of reach: its copy counts as told to go until it is proved gone.
         *state = Member::Cutting;
         actions.push(Action::Cut(member));
@@ -446,7 +444,7 @@
         for (at, member) in self.members.iter_mut().enumerate() {
             match member {
                 Member::Waiting(_) => *member = Member::Clear,
-                Member::Asked | Member::Stands(_) => {
+                Member::Asked | Member::Stands => {
                     *member = Member::Cutting;
                     actions.push(Action::Cut(at));
                 }
@@ -489,7 +487,7 @@
     }
 
     fn place(&mut self, now: Seconds, actions: &mut Vec<Action>) {
-        let whole = |m: &Member| matches!(m, Member::Stands(_) | Member::Finished);
+        let whole = |m: &Member| matches!(m, Member::Stands | Member::Finished);
         if self.members.iter().all(whole) {
             self.phase = Phase::Standing;
             self.partial_since = None;
--- a/src/decide/groups/model.rs
+++ b/src/decide/groups/model.rs
@@ -60,7 +60,7 @@
         let member = |m: &Member| match m {
             Member::Waiting(due) => (0, due.to_bits()),
             Member::Asked => (1, 0),
-            Member::Stands(_) => (2, 0),
+            Member::Stands => (2, 0),
             Member::Finished => (3, 0),
             Member::Cutting => (4, 0),
             Member::Clear => (5, 0),
@@ -257,7 +257,7 @@
                 let event = match said {
                     Up::Runs if asked => {
                         (line.asked, line.stands) = (false, true);
-                        Some(Event::Stands { member: at, machine: MachineId(at as u32) })
+                        Some(Event::Stands { member: at })
                     }
                     Up::Refused if asked => {
                         line.asked = false;
--- a/src/decide/groups/tests.rs
+++ b/src/decide/groups/tests.rs
@@ -3,7 +3,7 @@
 use super::fit::{admit, away, Lacks, Need};
 use super::starts::{Ends, Starts};
 use super::*;
-use crate::placer::{Room, ServiceId, Space};
+use crate::placer::{MachineId, Room, ServiceId, Space};
 
 fn policy() -> Policy {
     let (partial_s, cut_wait_s, pause_s) = (1.0, 0.25, (0.1, 0.2));
@@ -36,7 +36,7 @@
     }
 
     fn stands(&mut self, member: MemberNo) -> Vec<Action> {
-        self.hear(Event::Stands { member, machine: MachineId(member as u32) })
+        self.hear(Event::Stands { member })
     }
 }
 
--- a/src/decide/limits/explain.rs
+++ b/src/decide/limits/explain.rs
@@ -2,7 +2,7 @@
 
 use super::gauges::{Budget, Rate};
 use super::model::{Figures, Model, Route};
-use super::table::{Chain, Origin, Subject, Table};
+use super::table::{Chain, Subject, Table};
 use crate::placer::{Effect, Seconds, Settings};
 use std::collections::BTreeMap;
 
@@ -58,14 +58,6 @@
     "retryFloor",
 ];
 
-fn place(origin: Origin, model: &Model, classes: &[String]) -> String {
-    match origin {
-        Origin::Default => "default".into(),
-        Origin::Class(at) => format!("classes.{}", classes.get(at).map_or("", |c| c)),
-        Origin::Route(at) => format!("routes.{}", model.routes[at].name),
-    }
-}
-
 /// The route that a job takes, and each of its limits with the place that it comes from.
 pub fn explain(
     table: &Table,
@@ -80,7 +72,7 @@
     let line = |name: &'static str| {
         let found = chain.find(|figures| words(figures).remove(name));
         let (value, from) = match found {
-            Some((origin, value)) => (value, place(origin, model, classes)),
+            Some((origin, value)) => (value, origin.name(model, classes)),
             None => {
                 let value = match (name, class.effect) {
                     ("attempts", _) => settings.max_attempts.to_string(),
--- a/src/decide/limits/mod.rs
+++ b/src/decide/limits/mod.rs
@@ -109,15 +109,6 @@
         self.gauges.len() - self.free.len()
     }
 
-    /// The name of a place, under which its gauges outlive a reload.
-    pub fn name_of(&self, table: &Table, origin: Origin) -> Arc<str> {
-        match origin {
-            Origin::Default => "default".into(),
-            Origin::Class(at) => format!("classes.{}", self.classes.get(at).map_or("", |c| c)).into(),
-            Origin::Route(at) => format!("routes.{}", table.model().routes[at].name).into(),
-        }
-    }
-
     fn index(&self, origin: Origin) -> usize {
         match origin {
             Origin::Default => 0,
@@ -136,7 +127,7 @@
         let places = 1 + self.classes.len() + table.model().routes.len();
         self.slots = vec![None; places];
         for origin in table.counted() {
-            let name = self.name_of(&table, origin);
+            let name: Arc<str> = origin.name(table.model(), &self.classes).into();
             let slot = names.remove(&name).unwrap_or_else(|| self.book(name.clone()));
             let at = self.index(origin);
             self.slots[at] = Some(slot);
--- a/src/decide/limits/table.rs
+++ b/src/decide/limits/table.rs
@@ -22,6 +22,17 @@
     Route(usize),
 }
 
+impl Origin {
+    /// Its name, under which its gauges outlive a reload. `classes` are the names of the classes, in their order.
+    pub fn name(self, model: &Model, classes: &[String]) -> String {
+        match self {
+            Origin::Default => "default".into(),
+            Origin::Class(at) => format!("classes.{}", classes.get(at).map_or("", |c| c)),
+            Origin::Route(at) => format!("routes.{}", model.routes[at].name),
+        }
+    }
+}
+
 /// The limits of the jobs that take one way through the file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Resolved {
--- a/src/life/cli.rs
+++ b/src/life/cli.rs
@@ -183,8 +183,9 @@
 fn limits(command: Limits) -> Result<(), ConfigError> {
     match command {
         Limits::Explain { config, operators, class, service, front, cores, memory } => {
-            let (settings, words) = super::settings_of(&Config::load(config.clone())?)?;
-            let file = super::operators_of(&Config::load(config)?, &operators)?;
+            let config = Config::load(config)?;
+            let (settings, words) = super::settings_of(&config)?;
+            let file = super::operators_of(&config, &operators)?;
             let index = words.class(&class).ok_or_else(|| ConfigError::NoClass(class.clone()))?;
             let front = match front {
                 FrontName::Platform => Front::Platform,
--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -18,7 +18,7 @@
 
 /// A member's copy that was told to go, by the machines that have not said that it is gone.
 struct Cut {
-    of: Option<(GroupId, usize)>,
+    of: (GroupId, usize),
     machines: BTreeSet<MachineId>,
 }
 
@@ -103,7 +103,7 @@
 
     fn settle(&mut self, job: RequestId) {
         if self.cuts.get(&job).is_some_and(|cut| cut.machines.is_empty()) {
-            let of = self.cuts.remove(&job).and_then(|cut| cut.of);
+            let of = self.cuts.remove(&job).map(|cut| cut.of);
             self.cut_order.retain(|other| *other != job);
             self.proved.extend(of);
         }
@@ -113,9 +113,7 @@
 /// What an answer to a member means to its group.
 fn of_group(effect: &Effect) -> Option<(GroupId, Event)> {
     let (owner, event): (&Owner, fn(usize, &Effect) -> Event) = match effect {
-        Effect::Placed { owner, .. } => {
-            (owner, |member, _| Event::Stands { member, machine: MachineId::default() })
-        }
+        Effect::Placed { owner, .. } => (owner, |member, _| Event::Stands { member }),
         Effect::Refused { owner, .. } => (owner, |member, effect| {
             let retry_in_s = if let Effect::Refused { retry_in_s, .. } = effect { *retry_in_s } else { 0.0 };
             Event::Refused { member, retry_in_s }
@@ -269,14 +267,6 @@
                     continue;
                 };
                 effects.remove(at);
-                let event = match event {
-                    Event::Stands { member, .. } => {
-                        let job = self.groups.books.get(&group).and_then(|b| b.members.get(member)?.job);
-                        let machine = job.and_then(|job| self.jobs.get(&job)?.machine);
-                        Event::Stands { member, machine: machine.unwrap_or_default() }
-                    }
-                    other => other,
-                };
                 self.group_hears(now, group, event, effects);
             }
             let Some((group, member)) = self.groups.proved.pop() else { return };
@@ -404,9 +394,8 @@
             }
             self.groups.cut_order.push_back(job);
         }
-        let none = || Cut { of: None, machines: BTreeSet::new() };
+        let none = || Cut { of: (group, member), machines: BTreeSet::new() };
         let cut = self.groups.cuts.entry(job).or_insert_with(none);
-        cut.of = Some((group, member));
         cut.machines.insert(machine);
     }
 
