Count a time-out as out until its machine is known to have heard the give-up

The machine had been cut off (last heard of at 5.281): the give-up written at 6.365 never came to it, so attempt 1 was out there when attempt 2 arrived elsewhere.

Change: a time-out of an attempt that left writes a test behind the give-up, on the same connection. Its answer proves that the give-up was heard; then the module hears of the time-out. Without it within 1 s the job is answered, as it is where the settings allow no tests. A debug trail (BURLHOOK_LOG=burlhook::trail=debug) follows a job through planners.

--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -6,6 +6,7 @@
 pub(super) enum Alarm {
     Placer,
     GiveUp(RequestId, AttemptNo),
+    Unproved(RequestId, AttemptNo),
     Answer(RequestId),
     Unlisted(RequestId),
     Forget(RequestId),
@@ -34,15 +35,8 @@
             let Some(Reverse((_, alarm))) = self.alarms.pop() else { break };
             match alarm {
                 Alarm::Placer => placer = true,
-                Alarm::GiveUp(job, attempt) => {
-                    let trial = self.jobs.get(&job).and_then(|j| j.trial);
-                    if let Some(trial) = trial.filter(|t| t.attempt == attempt) {
-                        // What never left the queue never ran, and must not leave it later.
-                        effects.push(Effect::GiveUp { machine: trial.machine, job });
-                        let outcome = if trial.left { Outcome::TimedOut } else { Outcome::ConnectFailed };
-                        self.trial_over(now, job, outcome, Reason::Unknown, None, effects);
-                    }
-                }
+                Alarm::GiveUp(job, attempt) => self.time_out(now, job, attempt, effects),
+                Alarm::Unproved(job, attempt) => self.unheard(now, job, attempt, effects),
                 Alarm::Answer(job) => {
                     // Guards rule 1, should the module have let a job pass its deadline.
                     if self.jobs.get(&job).is_some_and(|j| j.phase == Phase::Pending) {
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -1,9 +1,15 @@
 //! The attempts of a job and the guards that hold whatever the module decides: one attempt out, no send to a machine
 //! that drains, the repeat window, and the end of what stood.
 
+use super::alarms::Alarm;
 use super::machines::CUT;
 use super::*;
 
+/// Seconds. So long a machine has to answer that it heard a give-up: as long as it has for any test.
+const PROOF_S: Seconds = 1.0;
+/// Seconds. Kept free before the deadline for the answer of a job whose give-up nobody heard.
+const PROOF_SPARE_S: Seconds = 0.02;
+
 impl Core {
     /// Carries out a bind, or tells why it must not go out.
     pub(super) fn bind(
@@ -29,7 +35,8 @@
             (Effect_::Keyed { window_s, .. }, Some(since)) => now < since + window_s.min(limits.window_s),
         };
         // What these forbid now they forbid for good: the module need not ask again.
-        let for_good = !in_window || attempt >= self.settings.max_attempts.min(limits.attempts);
+        let for_good =
+            !in_window || job.unheard || attempt >= self.settings.max_attempts.min(limits.attempts);
         let allowed = ready
             && !for_good
             && job.phase == Phase::Pending
@@ -43,7 +50,7 @@
         }
         let job = self.jobs.get_mut(&id)?;
         let until = give_up_at.min(job.task.deadline).min(now + limits.attempt_s);
-        job.trial = Some(Trial { attempt, machine, at: now, left: false });
+        job.trial = Some(Trial { attempt, machine, at: now, left: false, asked: None });
         let spec = job.spec.clone();
         effects.push(Effect::Launch { machine, job: id, attempt, left_s: until - now, spec });
         self.alarm(until, Alarm::GiveUp(id, attempt));
@@ -61,7 +68,9 @@
     ) {
         // An answer after a give-up finds no trial and is dropped: the give-up follows it on its connection.
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(trial) = job.trial.take_if(|t| t.machine == at && t.left) else { return };
+        let Some(trial) = job.trial.take_if(|t| t.machine == at && t.left && t.asked.is_none()) else {
+            return;
+        };
         (job.phase, job.machine, job.placed_at) = (Phase::Running, Some(at), now);
         job.may_have_run(trial.at);
         let (owner, service) = (job.owner, job.task.service);
@@ -99,8 +108,8 @@
             }
         }
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let finished = job.phase != Phase::Pending;
-        let last = !finished && self.is_last(now, id);
+        let (finished, unheard) = (job.phase != Phase::Pending, job.unheard);
+        let last = !finished && (unheard || self.is_last(now, id));
         self.changed(id, ChangeKind::Modified, effects);
         let (request, attempt, reason) = (id, trial.attempt, why);
         let end = End { request, attempt, outcome, reason, finished, last, report };
@@ -134,13 +143,72 @@
         self.feed(now, ended(id, attempt, outcome, why, true, report), effects);
     }
 
+    /// The time of an attempt is up. One that left is out until its machine is known to have heard the give-up: one
+    /// that is cut off hears none, and may still take it up.
+    pub(super) fn time_out(
+        &mut self,
+        now: Seconds,
+        id: RequestId,
+        attempt: AttemptNo,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(trial) = job.trial.as_mut().filter(|t| t.attempt == attempt && t.asked.is_none()) else {
+            return;
+        };
+        let (machine, left) = (trial.machine, trial.left);
+        // What never left the queue never ran, and must not leave it later.
+        effects.push(Effect::GiveUp { machine, job: id });
+        // A group has its own proof.
+        if !left || matches!(job.owner, Owner::Group { .. }) {
+            let outcome = if left { Outcome::TimedOut } else { Outcome::ConnectFailed };
+            return self.trial_over(now, id, outcome, Reason::Unknown, None, effects);
+        }
+        self.asks += 1;
+        trial.asked = Some(self.asks);
+        let until = (now + PROOF_S).min(job.task.deadline - PROOF_SPARE_S);
+        // Where no test may be sent, nothing can prove it.
+        if until <= now || !self.settings.probes {
+            return self.unheard(now, id, attempt, effects);
+        }
+        effects.push(Effect::Ask { machine, ask: self.asks });
+        self.alarm(until, Alarm::Unproved(id, attempt));
+    }
+
+    /// A machine heard all that was written to it before it was asked that.
+    pub(super) fn heard(&mut self, now: Seconds, machine: MachineId, ask: u64, effects: &mut Vec<Effect>) {
+        let proved = |t: &Trial| t.machine == machine && t.asked.is_some_and(|asked| asked <= ask);
+        let is = |j: &Job| j.trial.as_ref().is_some_and(proved);
+        let jobs: Vec<RequestId> = self.jobs.iter().filter(|(_, j)| is(j)).map(|(&id, _)| id).collect();
+        for job in jobs {
+            self.trial_over(now, job, Outcome::TimedOut, Reason::Unknown, None, effects);
+        }
+    }
+
+    /// No word came of a give-up: the job ends here, as another attempt might be out beside that one.
+    pub(super) fn unheard(
+        &mut self,
+        now: Seconds,
+        id: RequestId,
+        attempt: AttemptNo,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.trial.is_some_and(|t| t.attempt == attempt && t.asked.is_some()) {
+            job.unheard = true;
+            self.trial_over(now, id, Outcome::TimedOut, Reason::Unknown, None, effects);
+        }
+    }
+
     pub(super) fn give_up_trial(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> Option<Trial> {
         let job = self.jobs.get_mut(&id)?;
         let trial = job.trial.take()?;
         if trial.left {
             job.may_have_run(trial.at);
         }
-        effects.push(Effect::GiveUp { machine: trial.machine, job: id });
+        if trial.asked.is_none() {
+            effects.push(Effect::GiveUp { machine: trial.machine, job: id });
+        }
         if trial.left && matches!(job.owner, Owner::Group { .. }) {
             // The give-up is lost with its connection; this is not.
             effects.push(Effect::Stop { machine: trial.machine, job: id, cause: CUT });
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -32,6 +32,8 @@
     pub machine: MachineId,
     pub at: Seconds,
     pub left: bool,
+    /// It was given up, and counts as out until its machine answers this.
+    pub asked: Option<u64>,
 }
 
 /// A job and what came of it.
@@ -66,6 +68,8 @@
     /// An attempt of it was let out.
     pub(super) tried: bool,
     pub(super) trial: Option<Trial>,
+    /// An attempt was given up and its machine never said that it heard: it may be out for good.
+    pub(super) unheard: bool,
     pub(super) placed_at: Seconds,
 }
 
@@ -168,6 +172,7 @@
             ticket: None,
             tried: false,
             trial: None,
+            unheard: false,
             placed_at: 0.0,
         };
         match job.owner {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -57,6 +57,8 @@
     /// What the jobs that wait take.
     pending_bytes: usize,
     open_rest: usize,
+    /// Asks for proof so far.
+    asks: u64,
     keep: Keep,
     history: History,
     limits: InForce,
@@ -84,6 +86,7 @@
             pending: 0,
             pending_bytes: 0,
             open_rest: 0,
+            asks: 0,
             keep,
             history: History::new(keep.history),
             limits,
@@ -96,6 +99,11 @@
         &mut self.words
     }
 
+    /// The name of a machine.
+    pub fn name(&self, machine: MachineId) -> String {
+        self.words.name(machine)
+    }
+
     /// The settings.
     pub fn settings(&self) -> &Settings {
         &self.settings
@@ -185,6 +193,7 @@
                     self.standing_over(now, job, after, why, report, effects);
                 }
             }
+            Input::Heard { machine, ask } => self.heard(now, machine, ask, effects),
             Input::Noted { machine, job, note } => {
                 let Some(known) = self.jobs.get(&job) else { return };
                 let here =
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -284,3 +284,35 @@
         assert_eq!(bench.tell(Input::DialRefused { machine: at }).contains(&lost), kept);
     }
 }
+
+/// Guards the rule of one attempt out: a give-up that a machine cut off never hears leaves the attempt out there, so
+/// that no other may follow; the machine's word on the same connection proves it heard, and only then another goes.
+#[test]
+fn what_is_given_up_is_out_until_its_machine_is_heard() {
+    for hears in [true, false] {
+        let mut bench = Bench::new("repeatable");
+        bench.core.settings.probes = true;
+        let at = launched(&bench.submit(1, None)).expect("a launch");
+        bench.tell(Input::Sent { job: RequestId(1), attempt: 0 });
+        let timed_out = (1..50)
+            .map(|tenth| bench.at(100.0 + f64::from(tenth) / 10.0))
+            .find(|effects| !effects.is_empty())
+            .expect("a time-out before the deadline");
+        assert!(timed_out.contains(&Effect::GiveUp { machine: at, job: RequestId(1) }));
+        assert_eq!((launched(&timed_out), answers(&timed_out)), (None, 0), "the first may be out still");
+        let ask = timed_out.iter().find_map(|e| match e {
+            Effect::Ask { machine, ask } if *machine == at => Some(*ask),
+            _ => None,
+        });
+        let ask = ask.expect("the machine is asked whether it heard");
+        assert_eq!(launched(&bench.tell(Input::Heard { machine: MachineId(1 - at.0), ask })), None);
+        assert!(bench.bound(at, 1).is_empty(), "an answer that crossed the give-up places nothing");
+        if hears {
+            assert!(launched(&bench.tell(Input::Heard { machine: at, ask })).is_some());
+            continue;
+        }
+        let effects: Vec<Effect> =
+            (1..=12).flat_map(|tenth| bench.at(103.0 + f64::from(tenth) / 10.0)).collect();
+        assert_eq!((launched(&effects), answers(&effects)), (None, 1), "answered at once, not sent again");
+    }
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -129,6 +129,8 @@
         why: Reason,
         report: Option<Report>,
     },
+    /// The machine answered on the connection on which it was asked: all that was written there before came to it.
+    Heard { machine: MachineId, ask: u64 },
     /// A machine sends a note on a task.
     Noted { machine: MachineId, job: RequestId, note: Note },
     /// A probe was answered or failed.
@@ -160,6 +162,8 @@
     GiveUp { machine: MachineId, job: RequestId },
     /// End a task that stands.
     Stop { machine: MachineId, job: RequestId, cause: u8 },
+    /// Ask the machine, after all that was written to it before, to say that it hears.
+    Ask { machine: MachineId, ask: u64 },
     /// Ask the machine for its report.
     Probe { machine: MachineId },
     /// Hold a connection to the machine, which listens there.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -4,6 +4,7 @@
 use super::outbox::{Outbox, Tag};
 use super::platform::node::{self, cause};
 use super::platform::owner;
+use super::trail;
 use crate::placer::*;
 use crate::state::{Core, Effect, Input, Owner, Refusal};
 use std::collections::{BTreeMap, VecDeque};
@@ -179,8 +180,15 @@
         let before = inner.core.next_alarm();
         let mut effects = std::mem::take(&mut inner.effects);
         let now = self.now();
+        let trail = trail::is_on();
+        if trail {
+            trail::heard(&inner.core, &input);
+        }
         inner.core.apply(now, input, &mut effects);
         for effect in effects.drain(..) {
+            if trail {
+                trail::done(&inner.core, &effect);
+            }
             if effect == Effect::Changed {
                 self.changes.send_modify(|count| *count += 1);
             } else {
@@ -235,6 +243,9 @@
                 let line = node::check(link.probes);
                 self.write_node(machine, line, Tag::Plain);
             }
+            Effect::Ask { machine, ask } => {
+                self.write_node(machine, node::check(node::PROOF | ask), Tag::Plain);
+            }
             Effect::Connect { machine, address } => self.connect(machine, address),
             Effect::Disconnect { machine } => {
                 if let Some(link) = self.nodes.remove(&machine) {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,3 +5,4 @@
 pub mod outbox;
 pub mod platform;
 pub mod rest;
+mod trail;
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -1,6 +1,6 @@
 //! One long-lived connection to each box, and the watch over boxes that fall silent.
 
-use super::node::{self, take_line, Says};
+use super::node::{self, take_line, Says, PROOF};
 use crate::placer::*;
 use crate::state::Input;
 use crate::wire::hub::Hub;
@@ -256,7 +256,10 @@
                 let report = report(load, &mut inner);
                 Input::Ended { machine, job, before, after, why, report }
             }
-            Says::Checked { passed, load } => {
+            Says::Checked { number, .. } if number & PROOF != 0 => {
+                Input::Heard { machine, ask: number & !PROOF }
+            }
+            Says::Checked { passed, load, .. } => {
                 let asked = inner.nodes.get_mut(&machine).and_then(|l| l.probe.take());
                 if asked.is_none() {
                     return; // It came after the probe was given up.
--- a/src/wire/platform/node.rs
+++ b/src/wire/platform/node.rs
@@ -55,6 +55,8 @@
         load: Option<Load>,
     },
     Checked {
+        /// The number of the test.
+        number: u64,
         passed: bool,
         load: Option<Load>,
     },
@@ -129,7 +131,11 @@
             let why = text(&line.meta, "note").map_or(Reason::Unknown, |note| reason(&note));
             Says::Stopped { job: job()?, before, after, why, load: load() }
         }
-        "checked" => Says::Checked { passed: line.reason != Some(0), load: load() },
+        "checked" => {
+            // A test has no job; one whose number cannot be read proves nothing but that the box is there.
+            let number = u64::from_str_radix(&line.uid, 16).unwrap_or(0);
+            Says::Checked { number, passed: line.reason != Some(0), load: load() }
+        }
         "update" => {
             let value = text(&line.meta, "value").and_then(|v| v.parse().ok()).unwrap_or(0.0);
             match text(&line.meta, "note").as_deref() {
@@ -201,6 +207,9 @@
     line(json!({"kind": "stop", "uid": uid(job), "meta": {}, "reason": cause}))
 }
 
+/// Marks the number of a test that is to prove what came to a box before it.
+pub const PROOF: u64 = 1 << 63;
+
 /// A test that is answered with a report.
 pub fn check(number: u64) -> Vec<u8> {
     line(json!({"kind": "check", "uid": format!("{number:016x}"), "meta": {}, "reason": 1}))
--- /dev/null
+++ b/src/wire/trail.rs
@@ -0,0 +1,92 @@
+//! The trail of a job through this planner: one debug line for each thing heard of it and done about it. Read with
+//! `BURLHOOK_LOG=burlhook::trail=debug`, and by the job's id (16 hex digits) through all planners that touched it.
+
+use crate::placer::{ListKind, MachineId, Standing};
+use crate::state::{Core, Effect, Input};
+
+const TARGET: &str = "burlhook::trail";
+
+/// Whether anybody reads the trail.
+pub fn is_on() -> bool {
+    tracing::enabled!(target: TARGET, tracing::Level::DEBUG)
+}
+
+/// What was heard.
+pub fn heard(core: &Core, input: &Input) {
+    let name = |machine: &MachineId| core.name(*machine);
+    match input {
+        Input::List { kind, notices } => {
+            for n in
+                notices.iter().filter(|n| *kind != ListKind::Changes || n.entry.standing != Standing::Ready)
+            {
+                let (e, at) = (&n.entry, &n.address);
+                let (machine, standing, started) = (name(&e.machine), e.standing, e.started);
+                tracing::debug!(target: TARGET, machine, ?standing, started, %at, ?kind, "list");
+            }
+        }
+        Input::Submit(ask) => {
+            let (key, id) = (&ask.spec.name, ask.job.0);
+            tracing::debug!(target: TARGET, job = %format_args!("{id:016x}"), class = ask.spec.class, task = %key, "submitted");
+        }
+        Input::Adopt { ask, machine } => {
+            let (key, id) = (&ask.spec.name, ask.job.0);
+            tracing::debug!(target: TARGET, job = %format_args!("{id:016x}"), task = %key, machine = name(machine), "adopted");
+        }
+        Input::Cancel { job, cause } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), cause, "given up by its owner");
+        }
+        Input::Sent { job, attempt } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), attempt, "left");
+        }
+        Input::Bound { machine, job, .. } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), "answered");
+        }
+        Input::Ended { machine, job, before, after, why, .. } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), ?before, ?after, ?why, "ended");
+        }
+        Input::Heard { machine, ask } => {
+            tracing::debug!(target: TARGET, machine = name(machine), ask, "heard");
+        }
+        Input::DialFailed { machine }
+        | Input::DialRefused { machine }
+        | Input::LinkBroken { machine }
+        | Input::LinkUp { machine }
+        | Input::MachineLost { machine, .. } => {
+            tracing::debug!(target: TARGET, machine = name(machine), ?input, "link");
+        }
+        Input::OwnerGone { link } => tracing::debug!(target: TARGET, link, "owner gone"),
+        _ => {}
+    }
+}
+
+/// What is done about it.
+pub fn done(core: &Core, effect: &Effect) {
+    let name = |machine: &MachineId| core.name(*machine);
+    match effect {
+        Effect::Launch { machine, job, attempt, left_s, .. } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), attempt, left_s, "offered");
+        }
+        Effect::GiveUp { machine, job } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), "taken back");
+        }
+        Effect::Ask { machine, ask } => {
+            tracing::debug!(target: TARGET, machine = name(machine), ask, "asked")
+        }
+        Effect::Stop { machine, job, cause } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), cause, "cut");
+        }
+        Effect::Placed { job, .. } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), "placed")
+        }
+        Effect::Refused { job, why, .. } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), ?why, "refused");
+        }
+        Effect::Failed { job, .. } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), "failed")
+        }
+        Effect::Released { job, outcome, .. } => {
+            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), ?outcome, "released");
+        }
+        _ => {}
+    }
+}
