Take only a refused connection for proof, and book what left before a write broke

(2) outbox.write(..)? in boxes.rs threw away which set-ups had left when an error followed in the same call: such an attempt counted as never sent, and the next failed dial made it ConnectFailed, 'proved never to have run', so that work that runs once was sent again. Hub::write_out books it before the error goes on.

--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -1,13 +1,14 @@
 //! The hub: the core, and the queues of all connections. Tasks turn bytes into inputs and hand them in here;
 //! effects become queued bytes under the same lock, so that no other task sees a state in between.
 
-use super::outbox::{Outbox, Tag};
+use super::outbox::{Outbox, Sink, Tag};
 use super::platform::node::{self, cause};
 use super::platform::owner;
 use super::trail;
 use crate::placer::*;
 use crate::state::{Core, Effect, Input, Owner, Refusal};
 use std::collections::{BTreeMap, VecDeque};
+use std::io;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -201,6 +202,25 @@
         }
     }
 
+    /// Writes what waits for a machine, as long as the link is that one, and tells whether more waits. What left is
+    /// booked also where the connection broke in the midst of it: it may have run.
+    pub fn write_out(
+        &self,
+        (machine, life, address): (MachineId, u64, &str),
+        sink: &impl Sink,
+        left: &mut Vec<(RequestId, AttemptNo)>,
+    ) -> io::Result<Option<bool>> {
+        let mut inner = self.lock();
+        let link = inner.nodes.get_mut(&machine).filter(|l| l.life == life && l.address == address);
+        let Some(link) = link else { return Ok(None) };
+        let written = link.outbox.write(sink, left);
+        let waits = !link.outbox.is_empty();
+        for (job, attempt) in left.drain(..) {
+            self.apply_in(&mut inner, Input::Sent { job, attempt });
+        }
+        written.map(|()| Some(waits))
+    }
+
     /// Runs the core's alarms, for as long as the program does.
     pub async fn keep_time(self: Arc<Self>) {
         loop {
@@ -436,6 +456,7 @@
 mod tests {
     use super::*;
     use crate::state::tests::core;
+    use crate::state::{Ask, Notice, Spec};
 
     fn hub(owners: usize) -> Arc<Hub> {
         Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64 }).0
@@ -445,6 +466,58 @@
         inner.open_owner(now, IpAddr::from([127, 0, 0, 1])).map(|(id, _)| id)
     }
 
+    /// Takes some bytes, then is reset.
+    struct Breaks(std::cell::Cell<usize>);
+
+    impl Sink for Breaks {
+        fn try_write_vectored(&self, slices: &[io::IoSlice<'_>]) -> io::Result<usize> {
+            let all: usize = slices.iter().map(|s| s.len()).sum();
+            match self.0.replace(0).min(all) {
+                0 => Err(io::ErrorKind::ConnectionReset.into()),
+                taken => Ok(taken),
+            }
+        }
+    }
+
+    /// Guards rule 2: a set-up that left, whole or in part, before its connection broke in the same go may have run;
+    /// work that runs once is failed then, and not sent again.
+    #[test]
+    fn what_left_before_an_error_may_have_run() {
+        for taken in [0, 10, 1 << 20] {
+            let (hub, _wanted) =
+                Hub::new(core("once"), Bounds { owners: 9, owner_queue: 4096, box_queue: 4096 });
+            let name = hub.lock().core.words().machine("b");
+            let entry = Entry {
+                machine: name,
+                key: MachineKey(1),
+                zone: ZoneId(0),
+                cell: CellId(0),
+                kind: Some(0),
+                standing: Standing::Ready,
+                free: Room { cores: 9.0, memory: 18.0 },
+                started: 0.0,
+            };
+            let notice = Notice { entry, address: "a:1".into() };
+            hub.apply(Input::List { kind: ListKind::Changes, notices: vec![notice] });
+            let owner = open(&mut hub.lock(), 100.0).expect("a place");
+            let room = Room { cores: 1.0, memory: 1.0 };
+            let (class, service, deadline) = (0, ServiceId(1), hub.now() + 5.0);
+            let limits = TaskLimits::default();
+            let task = Task { class, tenant: None, service, room, deadline, life_s: None, limits };
+            let spec = Arc::new(Spec { class: "c".into(), body: "x".into(), ..Spec::default() });
+            hub.apply(Input::Submit(Ask { job: RequestId(1), owner: Owner::Link(owner), spec, task }));
+            let life = hub.lock().nodes[&name].life;
+            let broke = hub.write_out((name, life, "a:1"), &Breaks(taken.into()), &mut Vec::new());
+            // What is written whole brings no error until more is written.
+            assert_eq!(broke.is_err(), taken < 1 << 20);
+            hub.lock().nodes.get_mut(&name).expect("a link").outbox.reset();
+            hub.apply(Input::LinkBroken { machine: name });
+            let waits = !hub.lock().nodes[&name].outbox.is_empty();
+            let answered = !hub.lock().owners[&owner].outbox.is_empty();
+            assert_eq!((waits, answered), (taken == 0, taken > 0), "{taken} bytes left");
+        }
+    }
+
     /// Guards descriptors against owners that stay for good: silent, idle, or without reading what they are sent.
     #[test]
     fn a_connection_of_no_use_is_told_apart() {
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -8,6 +8,18 @@
 use std::io::{self, IoSlice};
 use tokio::net::TcpStream;
 
+/// Where bytes go: a socket, or one that a test makes fail.
+pub trait Sink {
+    /// Takes what it can now.
+    fn try_write_vectored(&self, slices: &[IoSlice<'_>]) -> io::Result<usize>;
+}
+
+impl Sink for TcpStream {
+    fn try_write_vectored(&self, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+        TcpStream::try_write_vectored(self, slices)
+    }
+}
+
 /// Count. Messages that are handed to the socket at once.
 const COALESCED: usize = 32;
 
@@ -88,8 +100,8 @@
         self.bytes = self.parcels.iter().map(|p| p.bytes.len()).sum();
     }
 
-    /// Writes what the socket takes now, and tells which set-ups began to leave.
-    pub fn write(&mut self, stream: &TcpStream, left: &mut Vec<(RequestId, AttemptNo)>) -> io::Result<()> {
+    /// Writes what the socket takes now, and tells which set-ups began to leave, also where an error follows.
+    pub fn write(&mut self, stream: &impl Sink, left: &mut Vec<(RequestId, AttemptNo)>) -> io::Result<()> {
         while !self.parcels.is_empty() {
             let mut from = self.written;
             let rest = |p: &'_ Parcel| std::mem::take(&mut from)..p.bytes.len();
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -47,8 +47,27 @@
 /// How a dial ended.
 enum Dialled {
     Up(TcpStream),
+    /// Its host says that nobody listens there: the one error that proves anything.
     Refused,
+    /// No connection came up, for whatever reason on the way.
     Silent,
+    /// This planner has no descriptor, port or buffer left: no word of any machine.
+    Short,
+}
+
+impl Dialled {
+    /// What an error says of the machine.
+    fn failed(error: &io::Error) -> Dialled {
+        use io::ErrorKind::{AddrInUse, AddrNotAvailable, ConnectionRefused, OutOfMemory, PermissionDenied};
+        // EMFILE, ENFILE and ENOBUFS have no kind of their own.
+        const SHORT: [i32; 3] = [24, 23, 105];
+        match error.kind() {
+            ConnectionRefused => Dialled::Refused,
+            AddrInUse | AddrNotAvailable | OutOfMemory | PermissionDenied => Dialled::Short,
+            _ if error.raw_os_error().is_some_and(|code| SHORT.contains(&code)) => Dialled::Short,
+            _ => Dialled::Silent,
+        }
+    }
 }
 
 struct Link {
@@ -69,7 +88,7 @@
     async fn dial(&self, address: &str) -> Dialled {
         match timeout(self.dial, TcpStream::connect(address)).await {
             Ok(Ok(stream)) => Dialled::Up(stream),
-            Ok(Err(_)) => Dialled::Refused,
+            Ok(Err(error)) => Dialled::failed(&error),
             Err(_) => Dialled::Silent,
         }
     }
@@ -90,7 +109,9 @@
         let machine = self.machine;
         let (mut wait, mut silent, mut reset) = (AGAIN.0, 0, false);
         while let Some((address, wake)) = self.address() {
-            match self.dial(&address).await {
+            let dialled = self.dial(&address).await;
+            let short = matches!(dialled, Dialled::Short);
+            match dialled {
                 Dialled::Up(stream) => {
                     let up = Instant::now();
                     silent = 0;
@@ -125,6 +146,11 @@
                         Input::DialRefused { machine }
                     });
                 }
+                Dialled::Short => {
+                    // What waits stays; a place that is of no use is given back for it.
+                    tracing::debug!(machine = machine.0, "no descriptor, port or buffer is left for a box");
+                    self.hub.lock().make_room();
+                }
                 Dialled::Silent => {
                     silent += 1;
                     self.tell(Input::DialFailed { machine });
@@ -133,7 +159,9 @@
                     }
                 }
             }
-            self.fail_probe(Outcome::ConnectFailed);
+            if !short {
+                self.fail_probe(Outcome::ConnectFailed);
+            }
             // Whatever it is that resets new connections must not have the planner dial without end.
             tokio::select! {
                 () = sleep(wait) => {}
@@ -153,22 +181,8 @@
         let mut looks = tokio::time::interval(LOOK);
         looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            let waits = {
-                let mut inner = self.hub.lock();
-                let Some(link) = inner
-                    .nodes
-                    .get_mut(&self.machine)
-                    .filter(|l| l.life == self.life && l.address == address)
-                else {
-                    return Ok(());
-                };
-                link.outbox.write(stream, &mut left)?;
-                let waits = !link.outbox.is_empty();
-                for (job, attempt) in left.drain(..) {
-                    self.hub.apply_in(&mut inner, Input::Sent { job, attempt });
-                }
-                waits
-            };
+            let at = (self.machine, self.life, address);
+            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(()) };
             let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
             tokio::select! {
                 () = wake.notified() => {}
@@ -200,6 +214,7 @@
                         // A box that hangs still takes connections; one that vanished does not.
                         match self.dial(address).await {
                             Dialled::Silent => silent_dials += 1,
+                            Dialled::Short => {}
                             _ => (heard, silent_dials) = (Instant::now(), 0),
                         }
                         if silent_dials >= LOST_DIALS {
@@ -274,3 +289,36 @@
         self.hub.apply_in(&mut inner, input);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards what stands and what is out against errors that prove nothing: only a host that says that nobody listens
+    /// proves that a process is gone, and what this planner lacks is no word of a machine at all.
+    #[test]
+    fn only_a_refused_connection_proves_anything() {
+        let told = |code: i32| match Dialled::failed(&io::Error::from_raw_os_error(code)) {
+            Dialled::Up(_) => "up",
+            Dialled::Refused => "refused",
+            Dialled::Silent => "silent",
+            Dialled::Short => "short",
+        };
+        let codes = [
+            (111, "refused"), // ECONNREFUSED
+            (104, "silent"),  // ECONNRESET
+            (110, "silent"),  // ETIMEDOUT
+            (113, "silent"),  // EHOSTUNREACH
+            (101, "silent"),  // ENETUNREACH
+            (24, "short"),    // EMFILE
+            (23, "short"),    // ENFILE
+            (105, "short"),   // ENOBUFS
+            (12, "short"),    // ENOMEM
+            (99, "short"),    // EADDRNOTAVAIL
+            (98, "short"),    // EADDRINUSE
+        ];
+        for (code, what) in codes {
+            assert_eq!(told(code), what, "error {code}");
+        }
+    }
+}
