Wait for machines that fall silent together, and test mute links after 4 s, not 1.5

The trail of one planner (n3, 8.6 s of it): 1,122 lines 'tested' (boxes.rs MUTE: each machine that holds a task and says nothing for 1.5 s, at each of 16 planners) against 221 'probed' by the module and 11 'asked' for give-ups; and at the cut

for every machine of the cut zone at every planner: after three silent dials (LOST_DIALS, boxes.rs) all that stood there was told lost though it ran on, and was started again all at once on what was left.

Change: src/decide/silence (pure) decides. Up to 7 machines silent at once are lost after three dials as before; 8 or more are taken to be cut off, and what stands there is told lost 6.5 s after the last word, as the protocol allows 8 s in all. A link on which something stands is tested after 4 s: the same 8 s leave room for it. Attempts out on a silent link are given up as before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod groups;
 pub mod limits;
+pub mod silence;
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -7,7 +7,7 @@
 use super::trail;
 use crate::placer::*;
 use crate::state::{Core, Effect, Input, Owner, Refusal};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -120,6 +120,8 @@
     pub bounds: Bounds,
     connects: mpsc::UnboundedSender<(MachineId, u64)>,
     next_link: u64,
+    /// Machines that no dial reaches now.
+    pub silent: BTreeSet<MachineId>,
     /// No new test of an owner is passed.
     pub draining: bool,
     /// Why the last job of the REST front was turned away at the door, and for how many seconds; the front takes it
@@ -151,6 +153,7 @@
             bounds,
             connects,
             next_link: 0,
+            silent: BTreeSet::new(),
             draining: false,
             turned_away: None,
         };
@@ -268,6 +271,7 @@
             }
             Effect::Connect { machine, address } => self.connect(machine, address),
             Effect::Disconnect { machine } => {
+                self.silent.remove(&machine);
                 if let Some(link) = self.nodes.remove(&machine) {
                     link.wake.notify_one();
                 }
@@ -334,6 +338,7 @@
         let Some(link) = self.nodes.get_mut(&machine) else { return };
         link.probes += 1;
         let line = node::check(link.probes);
+        tracing::debug!(target: "burlhook::trail", machine = machine.0, "tested");
         self.write_node(machine, line, Tag::Plain);
     }
 
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -1,6 +1,7 @@
 //! One long-lived connection to each box, and the watch over boxes that fall silent.
 
 use super::node::{self, take_line, Says, PROOF};
+use crate::decide::silence::{self, is_lost};
 use crate::placer::*;
 use crate::state::Input;
 use crate::wire::hub::Hub;
@@ -19,11 +20,9 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// A box that holds tasks and says nothing for so long is dialled, to see whether it is there at all.
 const SILENCE: Duration = Duration::from_millis(1000);
-/// A box that holds tasks and sends nothing for so long is asked on its connection, and has as long again to answer:
-/// one that stays open but brings nothing any more would hide the ends of all that stands there.
+/// A box that is asked on its connection has so long to answer: one that stays open but brings nothing any more would
+/// hide the ends of all that stands there.
 const MUTE: Duration = Duration::from_millis(1500);
-/// Count. Dials in a row that must come to nothing before a silent box is taken to be lost.
-const LOST_DIALS: u32 = 3;
 /// A probe that is not answered by then has failed.
 const PROBE: Duration = Duration::from_millis(1000);
 /// A line that is not whole so long after its last byte never will be.
@@ -97,6 +96,17 @@
         self.hub.apply(input);
     }
 
+    /// Books whether dials reach the machine, and tells how many no dial reaches now.
+    fn is_silent(&self, silent: bool) -> usize {
+        let mut inner = self.hub.lock();
+        if silent && inner.nodes.contains_key(&self.machine) {
+            inner.silent.insert(self.machine);
+        } else {
+            inner.silent.remove(&self.machine);
+        }
+        inner.silent.len()
+    }
+
     /// Fails a probe that is out.
     fn fail_probe(&self, outcome: Outcome) {
         let probe = self.hub.lock().nodes.get_mut(&self.machine).and_then(|l| l.probe.take());
@@ -108,16 +118,18 @@
     async fn hold(self) {
         let machine = self.machine;
         let (mut wait, mut silent, mut reset) = (AGAIN.0, 0, false);
+        let mut heard = Instant::now();
         while let Some((address, wake)) = self.address() {
             let dialled = self.dial(&address).await;
             let short = matches!(dialled, Dialled::Short);
             match dialled {
                 Dialled::Up(stream) => {
                     let up = Instant::now();
-                    silent = 0;
+                    self.is_silent(false);
                     let _ = stream.set_nodelay(true);
                     self.tell(Input::LinkUp { machine });
-                    let end = self.talk(&stream, &address, &wake).await;
+                    let end;
+                    (end, heard, silent) = self.talk(&stream, &address, &wake).await;
                     reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
                     if self.address().is_none() {
                         return; // It left the list; should it be back already, that is another's to tell of.
@@ -139,6 +151,7 @@
                 }
                 Dialled::Refused => {
                     silent = 0;
+                    self.is_silent(false);
                     // A reset before it tells a process that died from one that drains and takes nobody new.
                     self.tell(if reset {
                         Input::MachineLost { machine, proved: true }
@@ -154,7 +167,7 @@
                 Dialled::Silent => {
                     silent += 1;
                     self.tell(Input::DialFailed { machine });
-                    if silent >= LOST_DIALS {
+                    if is_lost(silent, heard.elapsed().as_secs_f64(), self.is_silent(true)) {
                         self.tell(Input::MachineLost { machine, proved: false });
                     }
                 }
@@ -171,11 +184,22 @@
         }
     }
 
-    /// Speaks on one connection until it ends.
-    async fn talk(&self, stream: &TcpStream, address: &str, wake: &Notify) -> io::Result<()> {
+    /// Speaks on one connection until it ends; tells also when its box was last heard of, and how many dials in a row
+    /// came to nothing since.
+    async fn talk(&self, stream: &TcpStream, address: &str, wake: &Notify) -> (io::Result<()>, Instant, u32) {
+        let mut word = (Instant::now(), 0);
+        let end = self.talk_on(stream, address, wake, &mut word).await;
+        (end, word.0, word.1)
+    }
+
+    async fn talk_on(
+        &self,
+        stream: &TcpStream,
+        address: &str,
+        wake: &Notify,
+        (heard, silent_dials): &mut (Instant, u32),
+    ) -> io::Result<()> {
         let mut buffer = BytesMut::with_capacity(READ_BYTES);
-        let mut heard = Instant::now();
-        let mut silent_dials = 0;
         let (mut spoke, mut asked) = (Instant::now(), None::<Instant>);
         let mut left = Vec::new();
         let mut looks = tokio::time::interval(LOOK);
@@ -203,7 +227,7 @@
                         Some(at) if at.elapsed() > MUTE => {
                             return Err(io::Error::new(io::ErrorKind::TimedOut, "it brings nothing any more"));
                         }
-                        None if spoke.elapsed() > MUTE && held > 0 => {
+                        None if spoke.elapsed().as_secs_f64() > silence::ASK_S && held > 0 => {
                             self.hub.lock().ask_node(self.machine);
                             asked = Some(Instant::now());
                             continue;
@@ -213,12 +237,21 @@
                     if heard.elapsed() > SILENCE && held > 0 {
                         // A box that hangs still takes connections; one that vanished does not.
                         match self.dial(address).await {
-                            Dialled::Silent => silent_dials += 1,
+                            Dialled::Silent => {
+                                *silent_dials += 1;
+                                self.is_silent(true);
+                            }
                             Dialled::Short => {}
-                            _ => (heard, silent_dials) = (Instant::now(), 0),
+                            _ => {
+                                (*heard, *silent_dials) = (Instant::now(), 0);
+                                self.is_silent(false);
+                            }
                         }
-                        if silent_dials >= LOST_DIALS {
-                            self.tell(Input::MachineLost { machine: self.machine, proved: false });
+                        if *silent_dials >= silence::DIALS {
+                            // What is out there is given up with the connection; what stands may be waited for.
+                            if is_lost(*silent_dials, heard.elapsed().as_secs_f64(), self.is_silent(true)) {
+                                self.tell(Input::MachineLost { machine: self.machine, proved: false });
+                            }
                             return Err(io::ErrorKind::TimedOut.into());
                         }
                     }
@@ -229,8 +262,8 @@
                         match stream.try_read_buf(&mut buffer) {
                             Ok(0) => return Ok(()),
                             Ok(_) => {
-                                (heard, silent_dials) = (Instant::now(), 0);
-                                (spoke, asked) = (heard, None);
+                                (*heard, *silent_dials) = (Instant::now(), 0);
+                                (spoke, asked) = (*heard, None);
                                 self.hear(&mut buffer)?;
                             }
                             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/wire/trail.rs
+++ b/src/wire/trail.rs
@@ -72,6 +72,7 @@
         Effect::Ask { machine, ask } => {
             tracing::debug!(target: TARGET, machine = name(machine), ask, "asked")
         }
+        Effect::Probe { machine } => tracing::debug!(target: TARGET, machine = name(machine), "probed"),
         Effect::Stop { machine, job, cause } => {
             tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), cause, "cut");
         }
