Keep connections on which a request has come unread, and send unwritten ends elsewhere

At fault, by reading, not caught in the act: hub.rs dropped an owner's outbox with its connection, also where ends of what stood waited in it; and make_room and the look at idle connections (owners.rs) closed one with a request unread in its socket, which the protocol counts as taken.

Change: such ends go to another connection of that owner, or to the next that opens; a connection with unread bytes is neither given away nor closed as useless. Tests: an_end_that_was_not_written_goes_elsewhere, what_came_unread_keeps_its_connection.

--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -9,9 +9,11 @@
 use crate::state::{Core, Effect, Input, Owner, Refusal};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch, Notify};
 
 /// Count. Releases that wait for an owner to come back.
@@ -77,8 +79,16 @@
     probes: u64,
 }
 
+/// Whether bytes have come on a connection that nobody has read yet.
+pub fn is_unread(stream: &TcpStream) -> bool {
+    let mut one = [MaybeUninit::uninit(); 1];
+    matches!(socket2::SockRef::from(stream).peek(&mut one), Ok(1..))
+}
+
 /// An owner's connection.
 pub struct OwnerLink {
+    /// Its socket, to see what has come on it; none in tests without one.
+    pub stream: Option<Arc<TcpStream>>,
     pub outbox: Outbox,
     pub wake: Arc<Notify>,
     ip: IpAddr,
@@ -95,7 +105,11 @@
 
 impl OwnerLink {
     fn push(&mut self, bytes: Vec<u8>, now: Seconds) {
-        if !self.outbox.push(bytes, Tag::Plain) {
+        self.push_as(bytes, now, Tag::Plain);
+    }
+
+    fn push_as(&mut self, bytes: Vec<u8>, now: Seconds, tag: Tag) {
+        if !self.outbox.push(bytes, tag) {
             self.closing = Some("it does not read its answers");
         }
         (self.told, self.used) = (true, now);
@@ -366,7 +380,8 @@
             _ => return,
         };
         match to.and_then(|to| self.owners.get_mut(&to)) {
-            Some(link) => link.push(bytes, now),
+            // The end of what stood is due elsewhere should this connection end before it is written.
+            Some(link) => link.push_as(bytes, now, if standing { Tag::Due } else { Tag::Plain }),
             None => {
                 if self.orphans.len() >= MOST_ORPHANS {
                     self.orphans.pop_front();
@@ -387,6 +402,7 @@
         let wake = Arc::new(Notify::new());
         let outbox = Outbox::new(self.bounds.owner_queue);
         let mut link = OwnerLink {
+            stream: None,
             outbox,
             wake: wake.clone(),
             ip,
@@ -399,7 +415,7 @@
         self.orphans.retain_mut(|orphan| {
             let fits = orphan.ip.is_none_or(|other| other == ip);
             if fits {
-                link.push(std::mem::take(&mut orphan.bytes), now);
+                link.push_as(std::mem::take(&mut orphan.bytes), now, Tag::Due);
             }
             !fits && now - orphan.at < ORPHAN_S
         });
@@ -416,7 +432,9 @@
     pub fn make_room(&mut self) -> Option<()> {
         let use_of = |(&id, link): (&u64, &OwnerLink)| {
             let owed = self.core.owed(id);
-            let free = owed.open == 0 && link.outbox.is_empty();
+            // What has come on it unread is taken, and would be lost with it.
+            let unread = || link.stream.as_ref().is_some_and(|stream| is_unread(stream));
+            let free = owed.open == 0 && link.outbox.is_empty() && !unread();
             free.then_some(((link.closing.is_none(), owed.standing > 0, link.told, micros(link.used)), id))
         };
         let (_, least) = self.owners.iter().filter_map(use_of).min()?;
@@ -426,6 +444,14 @@
         Some(())
     }
 
+    /// Books the end of an owner's connection; ends of what stood that were not written whole on it go to another.
+    pub fn close_owner(&mut self, now: Seconds, id: u64) {
+        let Some(mut link) = self.owners.remove(&id) else { return };
+        for bytes in link.outbox.take_due() {
+            self.write_owner(now, Owner::Link(id), bytes, true);
+        }
+    }
+
     /// Why a connection is of no more use, where it is not.
     pub fn useless(&self, now: Seconds, id: u64) -> Option<&'static str> {
         let link = self.owners.get(&id)?;
@@ -523,6 +549,45 @@
         }
     }
 
+    /// Guards ends of what stood against a connection that ends before they are written on it: they go to another of
+    /// the same owner, or to the next one that is opened.
+    #[test]
+    fn an_end_that_was_not_written_goes_elsewhere() {
+        for other in [true, false] {
+            let hub = hub(9);
+            let mut inner = hub.lock();
+            let first = open(&mut inner, 100.0).expect("a place");
+            inner.say(100.0, first, vec![1]);
+            inner.write_owner(100.0, Owner::Link(first), vec![2], true);
+            let second = other.then(|| open(&mut inner, 100.0).expect("a place"));
+            inner.close_owner(100.1, first);
+            let second = second.or_else(|| open(&mut inner, 100.2)).expect("a place");
+            assert_eq!(inner.owners.get_mut(&second).expect("a link").outbox.take_due(), [vec![2]]);
+        }
+    }
+
+    /// Guards a request that has come but was not read yet: its connection, though nothing is open on it, is neither
+    /// closed as useless nor given away.
+    #[tokio::test]
+    async fn what_came_unread_keeps_its_connection() {
+        let hub = hub(1);
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let mut client =
+            std::net::TcpStream::connect(listener.local_addr().expect("its address")).expect("up");
+        let (stream, _) = listener.accept().await.expect("a connection");
+        let stream = Arc::new(stream);
+        let mut inner = hub.lock();
+        let first = open(&mut inner, 100.0).expect("a place");
+        inner.owners.get_mut(&first).expect("a link").stream = Some(stream.clone());
+        assert!(!is_unread(&stream));
+        io::Write::write_all(&mut client, &[0]).expect("written");
+        while !is_unread(&stream) {
+            std::thread::yield_now();
+        }
+        assert_eq!(open(&mut inner, 100.1), None);
+        assert!(inner.owners.contains_key(&first));
+    }
+
     /// Guards descriptors against owners that stay for good: silent, idle, or without reading what they are sent.
     #[test]
     fn a_connection_of_no_use_is_told_apart() {
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -32,6 +32,8 @@
     Launch(RequestId, AttemptNo),
     /// Due also on the next connection, should this one break.
     Kept,
+    /// Due on another connection of the same owner, should this one end; it stays behind what was queued before.
+    Due,
 }
 
 struct Parcel {
@@ -90,6 +92,13 @@
         }
     }
 
+    /// After the connection ended for good: what is due elsewhere, also where only a part of it was written.
+    pub fn take_due(&mut self) -> Vec<Vec<u8>> {
+        (self.written, self.bytes) = (0, 0);
+        let due = self.parcels.drain(..).filter(|p| p.tag == Tag::Due);
+        due.map(|p| p.bytes).collect()
+    }
+
     /// After the connection broke: drops what was meant for it alone, and starts whole messages anew.
     pub fn reset(&mut self) {
         if self.written > 0 && self.parcels.front().is_some_and(|p| p.tag != Tag::Kept) {
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -4,7 +4,7 @@
 use super::owner::{self, kind, Malformed, Message, SetUp};
 use crate::placer::*;
 use crate::state::{Ask, Input, Owner, Spec};
-use crate::wire::hub::{Hub, Inner};
+use crate::wire::hub::{is_unread, Hub, Inner};
 use bytes::{Buf, BytesMut};
 use std::io;
 use std::net::SocketAddr;
@@ -36,6 +36,10 @@
             Ok((stream, peer)) => {
                 let place = hub.lock().open_owner(hub.now(), peer.ip());
                 if let Some((id, wake)) = place {
+                    let stream = Arc::new(stream);
+                    if let Some(link) = hub.lock().owners.get_mut(&id) {
+                        link.stream = Some(stream.clone());
+                    }
                     tokio::spawn(connection(hub.clone(), stream, peer, id, wake));
                 }
             }
@@ -49,12 +53,12 @@
     }
 }
 
-async fn connection(hub: Arc<Hub>, stream: TcpStream, peer: SocketAddr, id: u64, wake: Arc<Notify>) {
+async fn connection(hub: Arc<Hub>, stream: Arc<TcpStream>, peer: SocketAddr, id: u64, wake: Arc<Notify>) {
     let _ = stream.set_nodelay(true);
     if let Err(error) = talk(&hub, &stream, id, &wake).await {
         tracing::debug!(%peer, %error, "the connection of an owner ended");
     }
-    hub.lock().owners.remove(&id);
+    hub.lock().close_owner(hub.now(), id);
     // A client that closes with set-ups open has given them up.
     hub.apply(Input::OwnerGone { link: id });
 }
@@ -88,6 +92,8 @@
             () = wake.notified() => {}
             _ = looks.tick() => {
                 let useless = hub.lock().useless(hub.now(), id);
+                // A request that has come, though not yet to this program, has been taken.
+                let useless = useless.filter(|_| !is_unread(stream));
                 let half = half_since.filter(|since: &Instant| since.elapsed() > HALF).map(|_| "half a message");
                 if let Some(why) = useless.or(half) {
                     return Err(io::Error::other(why));
