--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -175,12 +175,16 @@
         self.alarm(until, Alarm::Unproved(id, attempt));
     }
 
+    /// The jobs of which such an attempt is out.
+    fn tried(&self, is: impl Fn(&Trial) -> bool) -> Vec<RequestId> {
+        let hit = |j: &Job| j.trial.as_ref().is_some_and(&is);
+        self.jobs.iter().filter(|(_, j)| hit(j)).map(|(&id, _)| id).collect()
+    }
+
     /// A machine heard all that was written to it before it was asked that.
     pub(super) fn heard(&mut self, now: Seconds, machine: MachineId, ask: u64, effects: &mut Vec<Effect>) {
         let proved = |t: &Trial| t.machine == machine && t.asked.is_some_and(|asked| asked <= ask);
-        let is = |j: &Job| j.trial.as_ref().is_some_and(proved);
-        let jobs: Vec<RequestId> = self.jobs.iter().filter(|(_, j)| is(j)).map(|(&id, _)| id).collect();
-        for job in jobs {
+        for job in self.tried(proved) {
             self.trial_over(now, job, Outcome::TimedOut, Reason::Unknown, None, effects);
         }
     }
@@ -226,9 +230,7 @@
         why: Reason,
         effects: &mut Vec<Effect>,
     ) {
-        let hit = |j: &Job| j.trial.is_some_and(|t| t.machine == machine && t.left == left);
-        let jobs: Vec<RequestId> = self.jobs.iter().filter(|(_, j)| hit(j)).map(|(&id, _)| id).collect();
-        for job in jobs {
+        for job in self.tried(|t| t.machine == machine && t.left == left) {
             // What was open on a connection that broke is given up by that.
             if !left {
                 effects.push(Effect::GiveUp { machine, job });
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -352,8 +352,10 @@
         let Some(link) = self.nodes.get_mut(&machine) else { return };
         link.probes += 1;
         let line = node::check(link.probes);
-        tracing::debug!(target: "burlhook::trail", machine = machine.0, "tested");
         self.write_node(machine, line, Tag::Plain);
+        if trail::is_on() {
+            trail::tested(&self.core, machine);
+        }
     }
 
     fn write_node(&mut self, machine: MachineId, bytes: Vec<u8>, tag: Tag) {
@@ -432,12 +434,15 @@
     pub fn make_room(&mut self) -> Option<()> {
         let use_of = |(&id, link): (&u64, &OwnerLink)| {
             let owed = self.core.owed(id);
-            // What has come on it unread is taken, and would be lost with it.
-            let unread = || link.stream.as_ref().is_some_and(|stream| is_unread(stream));
-            let free = owed.open == 0 && link.outbox.is_empty() && !unread();
+            let free = owed.open == 0 && link.outbox.is_empty();
             free.then_some(((link.closing.is_none(), owed.standing > 0, link.told, micros(link.used)), id))
         };
-        let (_, least) = self.owners.iter().filter_map(use_of).min()?;
+        let mut free: Vec<_> = self.owners.iter().filter_map(use_of).collect();
+        free.sort_unstable();
+        // What has come on it unread is taken, and would be lost with it.
+        let unread =
+            |id: &u64| self.owners.get(id).and_then(|l| l.stream.as_ref()).is_some_and(|s| is_unread(s));
+        let least = free.into_iter().map(|(_, id)| id).find(|id| !unread(id))?;
         if let Some(link) = self.owners.remove(&least) {
             link.wake.notify_one();
         }
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -117,8 +117,7 @@
 
     async fn hold(self) {
         let machine = self.machine;
-        let (mut wait, mut silent, mut reset) = (AGAIN.0, 0, false);
-        let mut heard = Instant::now();
+        let (mut wait, mut word, mut reset) = (AGAIN.0, (Instant::now(), 0), false);
         while let Some((address, wake)) = self.address() {
             let dialled = self.dial(&address).await;
             let short = matches!(dialled, Dialled::Short);
@@ -128,8 +127,7 @@
                     self.is_silent(false);
                     let _ = stream.set_nodelay(true);
                     self.tell(Input::LinkUp { machine });
-                    let end;
-                    (end, heard, silent) = self.talk(&stream, &address, &wake).await;
+                    let end = self.talk(&stream, &address, &wake, &mut word).await;
                     reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
                     if self.address().is_none() {
                         return; // It left the list; should it be back already, that is another's to tell of.
@@ -150,7 +148,7 @@
                     }
                 }
                 Dialled::Refused => {
-                    silent = 0;
+                    word.1 = 0;
                     self.is_silent(false);
                     // A reset before it tells a process that died from one that drains and takes nobody new.
                     self.tell(if reset {
@@ -165,9 +163,9 @@
                     self.hub.lock().make_room();
                 }
                 Dialled::Silent => {
-                    silent += 1;
+                    word.1 += 1;
                     self.tell(Input::DialFailed { machine });
-                    if is_lost(silent, heard.elapsed().as_secs_f64(), self.is_silent(true)) {
+                    if is_lost(word.1, word.0.elapsed().as_secs_f64(), self.is_silent(true)) {
                         self.tell(Input::MachineLost { machine, proved: false });
                     }
                 }
@@ -184,21 +182,16 @@
         }
     }
 
-    /// Speaks on one connection until it ends; tells also when its box was last heard of, and how many dials in a row
-    /// came to nothing since.
-    async fn talk(&self, stream: &TcpStream, address: &str, wake: &Notify) -> (io::Result<()>, Instant, u32) {
-        let mut word = (Instant::now(), 0);
-        let end = self.talk_on(stream, address, wake, &mut word).await;
-        (end, word.0, word.1)
-    }
-
-    async fn talk_on(
+    /// Speaks on one connection until it ends; keeps when its box was last heard of, and how many dials in a row came
+    /// to nothing since.
+    async fn talk(
         &self,
         stream: &TcpStream,
         address: &str,
         wake: &Notify,
         (heard, silent_dials): &mut (Instant, u32),
     ) -> io::Result<()> {
+        (*heard, *silent_dials) = (Instant::now(), 0);
         let mut buffer = BytesMut::with_capacity(READ_BYTES);
         let (mut spoke, mut asked) = (Instant::now(), None::<Instant>);
         let mut left = Vec::new();
--- a/src/wire/platform/node.rs
+++ b/src/wire/platform/node.rs
@@ -183,7 +183,8 @@
     line
 }
 
-fn uid(job: RequestId) -> String {
+/// A job's id as it is written.
+pub fn uid(job: RequestId) -> String {
     format!("{:016x}", job.0)
 }
 
--- a/src/wire/trail.rs
+++ b/src/wire/trail.rs
@@ -1,6 +1,7 @@
 //! The trail of a job through this planner: one debug line for each thing heard of it and done about it. Read with
 //! `BURLHOOK_LOG=burlhook::trail=debug`, and by the job's id (16 hex digits) through all planners that touched it.
 
+use super::platform::node::uid;
 use crate::placer::{ListKind, MachineId, Standing};
 use crate::state::{Core, Effect, Input};
 
@@ -25,24 +26,24 @@
             }
         }
         Input::Submit(ask) => {
-            let (key, id) = (&ask.spec.name, ask.job.0);
-            tracing::debug!(target: TARGET, job = %format_args!("{id:016x}"), class = ask.spec.class, task = %key, "submitted");
+            let (key, id) = (&ask.spec.name, uid(ask.job));
+            tracing::debug!(target: TARGET, job = id, class = ask.spec.class, task = %key, "submitted");
         }
         Input::Adopt { ask, machine } => {
-            let (key, id) = (&ask.spec.name, ask.job.0);
-            tracing::debug!(target: TARGET, job = %format_args!("{id:016x}"), task = %key, machine = name(machine), "adopted");
+            let (key, id) = (&ask.spec.name, uid(ask.job));
+            tracing::debug!(target: TARGET, job = id, task = %key, machine = name(machine), "adopted");
         }
         Input::Cancel { job, cause } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), cause, "given up by its owner");
+            tracing::debug!(target: TARGET, job = uid(*job), cause, "given up by its owner");
         }
         Input::Sent { job, attempt } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), attempt, "left");
+            tracing::debug!(target: TARGET, job = uid(*job), attempt, "left");
         }
         Input::Bound { machine, job, .. } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), "answered");
+            tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), "answered");
         }
         Input::Ended { machine, job, before, after, why, .. } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), ?before, ?after, ?why, "ended");
+            tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), ?before, ?after, ?why, "ended");
         }
         Input::Heard { machine, ask } => {
             tracing::debug!(target: TARGET, machine = name(machine), ask, "heard");
@@ -64,30 +65,35 @@
     let name = |machine: &MachineId| core.name(*machine);
     match effect {
         Effect::Launch { machine, job, attempt, left_s, .. } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), attempt, left_s, "offered");
+            tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), attempt, left_s, "offered");
         }
         Effect::GiveUp { machine, job } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), "taken back");
+            tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), "taken back");
         }
         Effect::Ask { machine, ask } => {
             tracing::debug!(target: TARGET, machine = name(machine), ask, "asked")
         }
         Effect::Probe { machine } => tracing::debug!(target: TARGET, machine = name(machine), "probed"),
         Effect::Stop { machine, job, cause } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), machine = name(machine), cause, "cut");
+            tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), cause, "cut");
         }
         Effect::Placed { job, .. } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), "placed")
+            tracing::debug!(target: TARGET, job = uid(*job), "placed")
         }
         Effect::Refused { job, why, .. } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), ?why, "refused");
+            tracing::debug!(target: TARGET, job = uid(*job), ?why, "refused");
         }
         Effect::Failed { job, .. } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), "failed")
+            tracing::debug!(target: TARGET, job = uid(*job), "failed")
         }
         Effect::Released { job, outcome, .. } => {
-            tracing::debug!(target: TARGET, job = %format_args!("{:016x}", job.0), ?outcome, "released");
+            tracing::debug!(target: TARGET, job = uid(*job), ?outcome, "released");
         }
         _ => {}
     }
 }
+
+/// A link tested its machine of its own accord.
+pub fn tested(core: &Core, machine: MachineId) {
+    tracing::debug!(target: TARGET, machine = core.name(machine), "tested");
+}
