Tell answers to one attempt from those to a later one at the same machine

Need: answers carry the job's id and no attempt's number. Read in bound() and in Input::Ended (src/state): any word of a machine was taken for the attempt out there, also a late or doubled word of an earlier one.

--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -124,11 +124,14 @@
     pub may_have_run: bool,
     /// It ended in an error.
     pub erred: bool,
+    /// Its connection broke: word of it may come late, and would be taken for word of another one there.
+    pub broke: bool,
 }
 
 impl Attempt {
     pub fn new(machine: MachineId, sent: Seconds, start: f64) -> Self {
-        Attempt { machine, sent, start, out: true, bound: false, may_have_run: true, erred: false }
+        let (out, bound, may_have_run) = (true, false, true);
+        Attempt { machine, sent, start, out, bound, may_have_run, erred: false, broke: false }
     }
 }
 
--- a/src/placer/rules.rs
+++ b/src/placer/rules.rs
@@ -532,6 +532,7 @@
         tried.out = false;
         tried.may_have_run = !end.outcome.never_ran();
         tried.erred = end.outcome == Outcome::Error;
+        tried.broke = end.reason == Reason::Broken;
         let erred = tried.erred;
         let (task, at, bound) = (request.task, tried.machine, tried.bound);
         let (ran_s, start) = (now - tried.sent, tried.start);
@@ -640,6 +641,9 @@
     /// Rule 2: whether the request may go to this machine after its earlier attempts.
     fn effect_allows(&self, now: Seconds, request: &Request, id: MachineId) -> bool {
         let mut risky = request.attempts.iter().filter(|a| a.may_have_run);
+        if request.attempts.iter().any(|a| a.broke && a.machine == id) {
+            return false;
+        }
         match self.settings.classes[request.task.class].effect {
             _ if !request.task.limits.copies => risky.next().is_none(),
             Effect::Repeatable => true,
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -2,6 +2,7 @@
 //! that drains, the repeat window, and the end of what stood.
 
 use super::alarms::Alarm;
+use super::jobs::{Past, Spot};
 use super::machines::CUT;
 use super::*;
 
@@ -23,7 +24,9 @@
         let job = self.jobs.get_mut(&id)?;
         let attempt = job.attempts;
         job.attempts += 1;
-        let ready = self.nodes.get(&machine).is_some_and(|n| n.entry.standing == Standing::Ready);
+        let entry = self.nodes.get(&machine).map(|n| n.entry);
+        let ready = entry.is_some_and(|e| e.standing == Standing::Ready);
+        let spot = entry.map_or(Spot { machine, zone: ZoneId(0), cell: CellId(0) }, |e| e.spot());
         let limits = job.task.limits;
         // A group tries a member again only once its earlier copy is proved gone; the window holds all the same.
         let of_group = matches!(job.owner, Owner::Group { .. });
@@ -37,8 +40,19 @@
         // What these forbid now they forbid for good: the module need not ask again.
         let for_good =
             !in_window || job.unheard || attempt >= self.settings.max_attempts.min(limits.attempts);
+        let in_group = match self.settings.classes[job.task.class].effect {
+            Effect_::Keyed { group, .. } => job.is_together(group, spot),
+            _ => true,
+        };
+        // An answer tells no attempt's number. Where an earlier one was, a test before this one parts their answers;
+        // where its connection broke, what it left may be told on any later one.
+        let again = job.past.iter().any(|p| p.machine == machine);
+        let parted =
+            !again || (self.settings.probes && job.past.iter().all(|p| p.machine != machine || p.settled));
         let allowed = ready
             && !for_good
+            && in_group
+            && parted
             && job.phase == Phase::Pending
             && job.trial.is_none()
             && now < job.task.deadline.min(give_up_at);
@@ -50,9 +64,15 @@
         }
         let job = self.jobs.get_mut(&id)?;
         let until = give_up_at.min(job.task.deadline).min(now + limits.attempt_s);
-        job.trial = Some(Trial { attempt, machine, at: now, left: false, asked: None });
+        self.asks += u64::from(again);
+        let fence = again.then_some(self.asks);
+        let (left, asked, out_of_sight) = (false, None, false);
+        job.trial = Some(Trial { attempt, machine, spot, at: now, left, fence, asked, out_of_sight });
         let spec = job.spec.clone();
-        effects.push(Effect::Launch { machine, job: id, attempt, left_s: until - now, spec });
+        if let Some(node) = self.nodes.get_mut(&machine) {
+            node.trying.insert(id);
+        }
+        effects.push(Effect::Launch { machine, job: id, attempt, left_s: until - now, fence, spec });
         self.alarm(until, Alarm::GiveUp(id, attempt));
         self.changed(id, ChangeKind::Modified, effects);
         None
@@ -67,12 +87,15 @@
         effects: &mut Vec<Effect>,
     ) {
         // An answer after a give-up finds no trial and is dropped: the give-up follows it on its connection.
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(trial) = job.trial.take_if(|t| t.machine == at && t.left && t.asked.is_none()) else {
+        let trial = self.jobs.get(&id).and_then(|j| j.trial);
+        if !trial.is_some_and(|t| t.is_answered_by(at) && t.asked.is_none()) {
             return;
-        };
+        }
+        let Some(trial) = self.take_trial(id) else { return };
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         (job.phase, job.machine, job.placed_at) = (Phase::Running, Some(at), now);
-        job.may_have_run(trial.at);
+        job.may_have_run(&trial);
+        job.past = Vec::new();
         let (owner, service) = (job.owner, job.task.service);
         self.groups.starts.learn(now, service, now - trial.at);
         self.answered(now, id);
@@ -96,11 +119,14 @@
         report: Option<Report>,
         effects: &mut Vec<Effect>,
     ) {
+        let Some(trial) = self.take_trial(id) else { return };
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(trial) = job.trial.take() else { return };
         job.last = Some((outcome, why));
+        if trial.left {
+            job.past.push(Past { machine: trial.machine, settled: !trial.out_of_sight });
+        }
         if !outcome.never_ran() {
-            job.may_have_run(trial.at);
+            job.may_have_run(&trial);
             if matches!(job.owner, Owner::Group { .. }) {
                 // No copy of a member may run on that its group does not know of.
                 effects.push(Effect::Stop { machine: trial.machine, job: id, cause: CUT });
@@ -175,16 +201,39 @@
         self.alarm(until, Alarm::Unproved(id, attempt));
     }
 
-    /// The jobs of which such an attempt is out.
-    fn tried(&self, is: impl Fn(&Trial) -> bool) -> Vec<RequestId> {
-        let hit = |j: &Job| j.trial.as_ref().is_some_and(&is);
-        self.jobs.iter().filter(|(_, j)| hit(j)).map(|(&id, _)| id).collect()
+    /// Takes a job's attempt out of the books.
+    fn take_trial(&mut self, id: RequestId) -> Option<Trial> {
+        let trial = self.jobs.get_mut(&id)?.trial.take()?;
+        if let Some(node) = self.nodes.get_mut(&trial.machine) {
+            let booked = node.trying.remove(&id);
+            debug_assert!(booked, "an attempt is booked where it is");
+        }
+        Some(trial)
+    }
+
+    /// The jobs of which such an attempt is out or queued at a machine.
+    pub(super) fn tried(&self, machine: MachineId, is: impl Fn(&Trial) -> bool) -> Vec<RequestId> {
+        let Some(node) = self.nodes.get(&machine) else { return vec![] };
+        let hit = |id: &RequestId| self.jobs.get(id).and_then(|j| j.trial.as_ref()).is_some_and(&is);
+        node.trying.iter().copied().filter(hit).collect()
+    }
+
+    /// An attempt that left ends without a word of its machine: a copy may run there.
+    fn lose_sight(&mut self, id: RequestId) {
+        let Some(trial) = self.jobs.get_mut(&id).and_then(|j| j.trial.as_mut()) else { return };
+        trial.out_of_sight = true;
+        let machine = trial.machine;
+        self.unproved(id, machine);
     }
 
     /// A machine heard all that was written to it before it was asked that.
     pub(super) fn heard(&mut self, now: Seconds, machine: MachineId, ask: u64, effects: &mut Vec<Effect>) {
-        let proved = |t: &Trial| t.machine == machine && t.asked.is_some_and(|asked| asked <= ask);
-        for job in self.tried(proved) {
+        for job in self.tried(machine, |t| t.fence.is_some_and(|fence| fence <= ask)) {
+            if let Some(trial) = self.jobs.get_mut(&job).and_then(|j| j.trial.as_mut()) {
+                trial.fence = None;
+            }
+        }
+        for job in self.tried(machine, |t| t.asked.is_some_and(|asked| asked <= ask)) {
             self.trial_over(now, job, Outcome::TimedOut, Reason::Unknown, None, effects);
         }
     }
@@ -200,15 +249,16 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if job.trial.is_some_and(|t| t.attempt == attempt && t.asked.is_some()) {
             job.unheard = true;
+            self.lose_sight(id);
             self.trial_over(now, id, Outcome::TimedOut, Reason::Unknown, None, effects);
         }
     }
 
     pub(super) fn give_up_trial(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> Option<Trial> {
+        let trial = self.take_trial(id)?;
         let job = self.jobs.get_mut(&id)?;
-        let trial = job.trial.take()?;
         if trial.left {
-            job.may_have_run(trial.at);
+            job.may_have_run(&trial);
         }
         if trial.asked.is_none() {
             effects.push(Effect::GiveUp { machine: trial.machine, job: id });
@@ -216,6 +266,8 @@
         if trial.left && matches!(job.owner, Owner::Group { .. }) {
             // The give-up is lost with its connection; this is not.
             effects.push(Effect::Stop { machine: trial.machine, job: id, cause: CUT });
+        }
+        if trial.left {
             self.unproved(id, trial.machine);
         }
         Some(trial)
@@ -230,9 +282,11 @@
         why: Reason,
         effects: &mut Vec<Effect>,
     ) {
-        for job in self.tried(|t| t.machine == machine && t.left == left) {
-            // What was open on a connection that broke is given up by that.
-            if !left {
+        for job in self.tried(machine, |t| t.left == left) {
+            // What was open on a connection that broke is given up by that, should its machine see it break.
+            if left {
+                self.lose_sight(job);
+            } else {
                 effects.push(Effect::GiveUp { machine, job });
             }
             let outcome = if left { Outcome::Lost } else { Outcome::ConnectFailed };
--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -380,8 +380,12 @@
         }
     }
 
-    /// Books that a copy of a member may be at a machine until that says otherwise.
+    /// Books that a copy of a job may be at a machine until that says otherwise; one of a member is cut again
+    /// whenever its machine comes back.
     pub(super) fn unproved(&mut self, job: RequestId, machine: MachineId) {
+        if self.nodes.contains_key(&machine) {
+            self.ghosts.book(job, machine);
+        }
         let Some(Owner::Group { group, member }) = self.jobs.get(&job).map(|j| j.owner) else { return };
         if !self.nodes.contains_key(&machine) {
             return; // It has left the list: its process is gone.
@@ -401,6 +405,7 @@
 
     /// A machine says that a copy is over.
     pub(super) fn prove_gone(&mut self, job: RequestId, machine: MachineId) {
+        self.ghosts.prove_gone(job, machine);
         if let Some(cut) = self.groups.cuts.get_mut(&job) {
             cut.machines.remove(&machine);
             self.groups.settle(job);
@@ -409,6 +414,7 @@
 
     /// A machine's process is gone with all that it held.
     pub(super) fn prove_all_gone(&mut self, machine: MachineId) {
+        self.ghosts.prove_all_gone(machine);
         let here = |cut: &Cut| cut.machines.contains(&machine);
         let jobs: Vec<RequestId> =
             self.groups.cuts.iter().filter(|(_, cut)| here(cut)).map(|(&job, _)| job).collect();
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -18,11 +18,39 @@
 const MOST_WAIT_TIMES: f64 = 8.0;
 
 impl Job {
-    /// Books that an attempt which went out at that time may have run.
-    pub(super) fn may_have_run(&mut self, at: Seconds) {
-        self.risky_since = self.risky_since.or(Some(at));
+    /// Books that an attempt may have run.
+    pub(super) fn may_have_run(&mut self, trial: &Trial) {
+        if self.risky_since.is_none() {
+            (self.risky_since, self.risky_at) = (Some(trial.at), Some(trial.spot));
+        }
         self.own_risk = true;
     }
+
+    /// Whether a machine lies in that place with the one at which the job may have run first.
+    pub(super) fn is_together(&self, place: Place, there: Spot) -> bool {
+        self.risky_at.is_none_or(|first| match place {
+            Place::All => true,
+            Place::Machine => first.machine == there.machine,
+            Place::Cell => first.cell == there.cell,
+            Place::Zone => first.zone == there.zone,
+        })
+    }
+}
+
+/// Where a machine lies; kept with a job, as its machine may leave the list within the window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Spot {
+    pub machine: MachineId,
+    pub zone: ZoneId,
+    pub cell: CellId,
+}
+
+/// An attempt that left and is over.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Past {
+    pub machine: MachineId,
+    /// Its machine's word, or proof, ended it: nothing more of it comes after the answer to a later test.
+    pub settled: bool,
 }
 
 /// An attempt that is out.
@@ -30,10 +58,22 @@
 pub(super) struct Trial {
     pub attempt: AttemptNo,
     pub machine: MachineId,
+    pub spot: Spot,
     pub at: Seconds,
     pub left: bool,
+    /// An earlier attempt was there: what comes before the answer to this test belongs to that one.
+    pub fence: Option<u64>,
     /// It was given up, and counts as out until its machine answers this.
     pub asked: Option<u64>,
+    /// It is over without a word of its machine: a copy may run, and an answer may still come.
+    pub out_of_sight: bool,
+}
+
+impl Trial {
+    /// Whether a word of that machine is for this attempt.
+    pub fn is_answered_by(&self, machine: MachineId) -> bool {
+        self.machine == machine && self.left && self.fence.is_none()
+    }
 }
 
 /// A job and what came of it.
@@ -57,6 +97,8 @@
     pub retry_in_s: Seconds,
     /// When the first attempt went out that may have run.
     pub risky_since: Option<Seconds>,
+    /// Where that was.
+    pub(super) risky_at: Option<Spot>,
     /// Whether that was an attempt of this very job, and not of one before it under its key.
     pub(super) own_risk: bool,
     /// Version of its last change.
@@ -68,6 +110,8 @@
     /// An attempt of it was let out.
     pub(super) tried: bool,
     pub(super) trial: Option<Trial>,
+    /// Earlier attempts that left, until the final answer.
+    pub(super) past: Vec<Past>,
     /// An attempt was given up and its machine never said that it heard: it may be out for good.
     pub(super) unheard: bool,
     pub(super) placed_at: Seconds,
@@ -102,6 +146,10 @@
         if self.jobs.contains_key(&id) {
             return self.used_twice(now, id, owner, effects);
         }
+        // Its first copy may run: sent again, nobody could tell what an answer is for.
+        if self.ghosts.may_run(id) {
+            return effects.push(Effect::Failed { owner, job: id });
+        }
         let crowded = matches!(owner, Owner::Link(link) if self.owed(link).open >= MOST_ON_LINK);
         if self.is_full() || crowded {
             let (why, retry_in_s) = (Refusal::Busy, DOOR_RETRY_S);
@@ -144,13 +192,15 @@
     }
 
     pub(super) fn add(&mut self, now: Seconds, ask: Ask, phase: Phase) {
-        let mut risky_since = None;
+        let (mut risky_since, mut risky_at) = (None, None);
         if let (Some(key), Owner::Rest | Owner::Group { .. }) = (&ask.spec.key, ask.owner) {
             let at = (ask.spec.class.clone(), key.clone());
             let before = self.keys.insert(at, ask.job).and_then(|before| self.jobs.get(&before));
             // A retry stays inside the window that its first try opened. What stood has ended for certain, and
             // past the window an owner's ask is a placing of its own, as on the platform.
-            let risky = before.filter(|j| j.machine.is_none()).and_then(|j| j.risky_since);
+            let before = before.filter(|j| j.machine.is_none());
+            risky_at = before.and_then(|j| j.risky_at);
+            let risky = before.and_then(|j| j.risky_since);
             risky_since = risky.filter(|&since| match self.settings.classes[ask.task.class].effect {
                 Effect_::Keyed { window_s, .. } => now < since + window_s,
                 _ => true,
@@ -166,12 +216,14 @@
             last: None,
             retry_in_s: 0.0,
             risky_since,
+            risky_at: risky_at.filter(|_| risky_since.is_some()),
             own_risk: false,
             version: 0,
             turned: None,
             ticket: None,
             tried: false,
             trial: None,
+            past: Vec::new(),
             unheard: false,
             placed_at: 0.0,
         };
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -1,5 +1,6 @@
 //! The machines: what the list says of them, and what follows where one is lost.
 
+use super::jobs::Spot;
 use super::*;
 
 /// Seconds. So long a machine that drains and refuses connections is taken to hold what stands there. An end of
@@ -7,6 +8,13 @@
 const DRAIN_KEEPS_S: Seconds = 3.0;
 /// Count. Names kept of machines that are no more, before they are gone through.
 const OLD_NAMES: usize = 64;
+impl Entry {
+    /// Where it lies.
+    pub(super) fn spot(&self) -> Spot {
+        Spot { machine: self.machine, zone: self.zone, cell: self.cell }
+    }
+}
+
 /// The cause by which a machine is told to cut a task that counts as lost.
 pub(super) const CUT: u8 = 41;
 
@@ -15,11 +23,20 @@
     pub entry: Entry,
     pub address: String,
     pub standing: BTreeSet<RequestId>,
+    /// Jobs of which an attempt is out or queued there.
+    pub trying: BTreeSet<RequestId>,
     /// Since when it refuses connections while it drains.
     pub refuses_since: Option<Seconds>,
     pub version: u64,
 }
 
+impl Node {
+    fn new(entry: Entry, address: String, standing: BTreeSet<RequestId>) -> Node {
+        let trying = BTreeSet::new();
+        Node { entry, address, standing, trying, refuses_since: None, version: 0 }
+    }
+}
+
 impl Core {
     /// Gives a machine a new version, which watchers see.
     pub(super) fn machine_changed(&mut self, id: MachineId, kind: ChangeKind, effects: &mut Vec<Effect>) {
@@ -71,9 +88,13 @@
             }
         }
         self.forget_names();
-        let unsent = |j: &Job| j.trial.filter(|t| !t.left && !self.is_ready(t.machine));
-        let drained: Vec<(RequestId, MachineId)> =
-            self.jobs.iter().filter_map(|(&id, j)| unsent(j).map(|t| (id, t.machine))).collect();
+        let drains = |(_, n): &(&MachineId, &Node)| n.entry.standing != Standing::Ready;
+        let drains: Vec<MachineId> = self.nodes.iter().filter(drains).map(|(&id, _)| id).collect();
+        let unsent = |&machine: &MachineId| {
+            let jobs = self.tried(machine, |t| !t.left).into_iter();
+            jobs.map(move |job| (job, machine)).collect::<Vec<_>>()
+        };
+        let drained: Vec<(RequestId, MachineId)> = drains.iter().flat_map(unsent).collect();
         for (job, machine) in drained {
             effects.push(Effect::GiveUp { machine, job });
             self.trial_over(now, job, Outcome::Moot, Reason::Unknown, None, effects);
@@ -108,10 +129,6 @@
         }
     }
 
-    pub(super) fn is_ready(&self, machine: MachineId) -> bool {
-        self.nodes.get(&machine).is_some_and(|n| n.entry.standing == Standing::Ready)
-    }
-
     /// Books what the list says of one machine; tells when it started if it came up anew under its old name.
     pub(super) fn notice(
         &mut self,
@@ -125,7 +142,7 @@
                 let standing = self.jobs.iter().filter(|(_, j)| held(j)).map(|(&job, _)| job).collect();
                 let address = notice.address.clone();
                 effects.push(Effect::Connect { machine: id, address: address.clone() });
-                self.nodes.insert(id, Node { entry, address, standing, refuses_since: None, version: 0 });
+                self.nodes.insert(id, Node::new(entry, address, standing));
                 self.machine_changed(id, ChangeKind::Added, effects);
             }
             return None;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 
 mod alarms;
 mod attempts;
+mod ghosts;
 mod groups;
 mod history;
 mod jobs;
@@ -15,6 +16,7 @@
 mod words;
 
 use alarms::Alarm;
+use ghosts::Ghosts;
 use groups::Groups;
 pub use groups::{GroupView, MemberView};
 pub use history::{Change, ChangeKind, History, Resume};
@@ -63,6 +65,7 @@
     history: History,
     limits: InForce,
     groups: Groups,
+    ghosts: Ghosts,
 }
 
 impl Core {
@@ -91,6 +94,7 @@
             history: History::new(keep.history),
             limits,
             groups: Groups::default(),
+            ghosts: Ghosts::default(),
         })
     }
 
@@ -186,8 +190,9 @@
             Input::Ended { machine, job, before, after, why, report } => {
                 self.prove_gone(job, machine);
                 let Some(known) = self.jobs.get(&job) else { return };
-                // What is still in the queue cannot have been answered: that was for an earlier attempt.
-                if known.trial.is_some_and(|t| t.machine == machine && t.left) {
+                // What is still in the queue, or stands behind a test that is not answered, cannot have been
+                // answered: that was for an earlier attempt.
+                if known.trial.is_some_and(|t| t.is_answered_by(machine)) {
                     self.trial_over(now, job, before, why, report, effects);
                 } else if known.phase == Phase::Running && known.machine == Some(machine) {
                     self.standing_over(now, job, after, why, report, effects);
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -14,10 +14,14 @@
 
 /// A core that knows no machine.
 pub(crate) fn core(idempotency: &str) -> Core {
-    let boot = json!({"areas": ["z"], "family_info": {"apart_by": ["silent"], "class_kind": [-1], "cold_bears": 70.0,
+    core_of(idempotency, "all")
+}
+
+fn core_of(idempotency: &str, group: &str) -> Core {
+    let boot = json!({"areas": ["z", "y"], "family_info": {"apart_by": ["silent"], "class_kind": [-1], "cold_bears": 70.0,
         "cores_multiple": 1.0, "free_by": "used", "mem_booking": 1.0, "memory_by_kind": [20.0],
         "prompt_start_s": [8.0], "says_yes": "running", "shows_free": true, "size_cores": [10], "spread_most": [2]},
-        "grades": [{"name": "c", "deadline_s": 5.0, "group": "all", "idempotency": idempotency, "importance": 1.0,
+        "grades": [{"name": "c", "deadline_s": 5.0, "group": group, "idempotency": idempotency, "importance": 1.0,
         "on_time_s": 1.0, "repeat_window_s": 6.0}], "kinds": ["k"], "membership_mode": "push", "n_instances": 1,
         "permissions": {"max_attempts": 4}, "report": {"source": "silent"},
         "rules": {"ask_every_s": 10.0, "fall_s": 2.0, "warm_within_s": 16.0}, "tick_s": 0.002, "zone": "z"});
@@ -70,6 +74,10 @@
         self.tell(Input::Submit(Ask { job: RequestId(job), owner, spec: Arc::new(spec), task }))
     }
 
+    fn sent(&mut self, job: u64, attempt: AttemptNo) {
+        self.tell(Input::Sent { job: RequestId(job), attempt });
+    }
+
     fn end(&mut self, machine: MachineId, job: u64, before: Outcome) -> Vec<Effect> {
         let (after, why) = (Outcome::Ok, Reason::LineFull);
         self.tell(Input::Ended { machine, job: RequestId(job), before, after, why, report: None })
@@ -316,3 +324,135 @@
         assert_eq!((launched(&effects), answers(&effects)), (None, 1), "answered at once, not sent again");
     }
 }
+
+/// Runs a bench on until something is sent, and tells where to, and behind which test.
+fn offered(bench: &mut Bench) -> Option<(MachineId, Option<u64>)> {
+    (0..500).find_map(|_| {
+        bench.now += 0.01;
+        bench.tell(Input::Tick).into_iter().find_map(|effect| match effect {
+            Effect::Launch { machine, fence, .. } => Some((machine, fence)),
+            _ => None,
+        })
+    })
+}
+
+/// Guards the rule of one attempt out against answers that come late or twice: no answer tells an attempt's number, so
+/// that a second attempt at a machine stands behind a test, and what comes before its answer belongs to the first.
+#[test]
+fn an_answer_to_an_earlier_attempt_is_not_taken_for_a_later_one() {
+    let mut bench = Bench::new("repeatable");
+    bench.core.settings.probes = true;
+    bench.list(&[(1, Standing::Gone)]);
+    let at = launched(&bench.submit(1, None)).expect("a launch");
+    bench.sent(1, 0);
+    bench.end(at, 1, Outcome::Full);
+    let (again, fence) = offered(&mut bench).expect("another attempt");
+    assert_eq!(again, at);
+    let fence = fence.expect("a test before the second attempt there");
+    bench.sent(1, 1);
+    let early =
+        [bench.end(at, 1, Outcome::Full), bench.bound(at, 1), bench.end(at, 1, Outcome::Error)].concat();
+    assert!(early.is_empty(), "what comes before the test's answer is of the first: {early:?}");
+    bench.tell(Input::Heard { machine: MachineId(1 - at.0), ask: fence });
+    assert!(bench.bound(at, 1).is_empty(), "another machine's answer proves nothing");
+    bench.tell(Input::Heard { machine: at, ask: fence });
+    assert_eq!(answers(&bench.bound(at, 1)), 1);
+}
+
+/// Guards the same where the connection broke: what the attempt left may be told on any later connection, so that its
+/// machine gets no other of this job; nor does one that cannot be tested get a second.
+#[test]
+fn a_machine_out_of_sight_gets_no_second_attempt() {
+    for broke in [true, false] {
+        let mut bench = Bench::new("repeatable");
+        bench.core.settings.probes = broke;
+        bench.list(&[(1, Standing::Gone)]);
+        let at = launched(&bench.submit(1, None)).expect("a launch");
+        bench.sent(1, 0);
+        let mut effects = match broke {
+            true => bench.tell(Input::LinkBroken { machine: at }),
+            false => bench.end(at, 1, Outcome::Full),
+        };
+        for tenth in 1..=60 {
+            effects.extend(bench.at(100.0 + f64::from(tenth) / 10.0));
+        }
+        assert_eq!((launched(&effects), answers(&effects)), (None, 1));
+    }
+    let mut bench = Bench::new("repeatable");
+    let at = launched(&bench.submit(1, None)).expect("a launch");
+    bench.sent(1, 0);
+    assert_eq!(launched(&bench.tell(Input::LinkBroken { machine: at })), Some(MachineId(1 - at.0)));
+}
+
+/// Guards the same against an id that comes again after its job is over: while a copy of the first may run, the second is
+/// answered and not sent.
+#[test]
+fn an_id_of_which_a_copy_may_run_is_not_sent_anew() {
+    let failed = Effect::Failed { owner: Owner::Link(1), job: RequestId(1) };
+    for proof in 0..3 {
+        let mut bench = Bench::new("repeatable");
+        let at = launched(&bench.submit(1, None)).expect("a launch");
+        bench.sent(1, 0);
+        bench.tell(Input::Cancel { job: RequestId(1), cause: 16 });
+        bench.core.forget(RequestId(1), &mut vec![]);
+        assert!(bench.submit(1, None).contains(&failed));
+        match proof {
+            0 => _ = bench.end(MachineId(1 - at.0), 1, Outcome::Lost),
+            1 => _ = bench.end(at, 1, Outcome::Lost),
+            _ => _ = bench.tell(Input::MachineLost { machine: at, proved: true }),
+        }
+        assert_eq!(launched(&bench.submit(1, None)).is_some(), proof > 0, "only its machine can prove it");
+    }
+}
+
+/// Guards keyed work: whatever the module says, it is tried again only in the group of its first attempt that may have
+/// run, also where that one's machine has left the list.
+#[test]
+fn keyed_work_stays_in_its_group() {
+    for (group, allowed) in
+        [("all", [true; 3]), ("zone", [true, true, false]), ("cell", [true, false, false])]
+    {
+        let mut bench = Bench { core: core_of("by_key", group), now: 100.0 };
+        let spots = [(0, 0, 0), (1, 0, 0), (2, 0, 1), (3, 1, 2)];
+        let notice = |&(n, zone, cell): &(u32, u32, u64)| {
+            let (machine, key, free) =
+                (MachineId(n), MachineKey(n.into()), Room { cores: 9.0, memory: 18.0 });
+            let (zone, cell, standing) = (ZoneId(zone), CellId(cell), Standing::Ready);
+            let entry = Entry { machine, key, zone, cell, kind: Some(0), standing, free, started: 0.0 };
+            Notice { entry, address: format!("a:{n}") }
+        };
+        let add = |bench: &mut Bench, of: &[(u32, u32, u64)]| {
+            let notices = of.iter().map(notice).collect();
+            bench.tell(Input::List { kind: ListKind::Changes, notices })
+        };
+        add(&mut bench, &spots[..1]);
+        assert_eq!(launched(&bench.submit(1, Some("k"))), Some(MachineId(0)));
+        bench.sent(1, 0);
+        // Its end is kept from the module, which would go on by itself.
+        let job = bench.core.jobs.get_mut(&RequestId(1)).expect("a job");
+        let trial = job.trial.take().expect("an attempt");
+        job.may_have_run(&trial);
+        bench.core.nodes.get_mut(&MachineId(0)).expect("a machine").trying.clear();
+        bench.list(&[(0, Standing::Gone)]);
+        // The module hears nothing of these: what is asked is what the guard says by itself.
+        for (n, allowed) in (1..).zip(allowed) {
+            let mut effects = Vec::new();
+            let entry = notice(&spots[n as usize]);
+            bench.core.notice(&entry, &mut effects);
+            bench.core.bind(bench.now, RequestId(1), MachineId(n), bench.now + 1.0, &mut effects);
+            let out = launched(&effects).is_some();
+            assert_eq!(out, allowed, "group {group}, machine {n}");
+            if out {
+                bench.core.trial_over(
+                    bench.now,
+                    RequestId(1),
+                    Outcome::Moot,
+                    Reason::Unknown,
+                    None,
+                    &mut vec![],
+                );
+                bench.core.jobs.get_mut(&RequestId(1)).expect("a job").attempts = 1;
+            }
+        }
+    }
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -156,8 +156,15 @@
 /// What is to be done outside.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    /// Offer the job to the machine.
-    Launch { machine: MachineId, job: RequestId, attempt: AttemptNo, left_s: Seconds, spec: Arc<Spec> },
+    /// Offer the job to the machine; where a fence is there, this test goes right before it.
+    Launch {
+        machine: MachineId,
+        job: RequestId,
+        attempt: AttemptNo,
+        left_s: Seconds,
+        fence: Option<u64>,
+        spec: Arc<Spec>,
+    },
     /// Take an attempt back: out of the queue if it is there still, else by message.
     GiveUp { machine: MachineId, job: RequestId },
     /// End a task that stands.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -261,8 +261,11 @@
 impl Inner {
     fn carry_out(&mut self, now: Seconds, effect: Effect) {
         match effect {
-            Effect::Launch { machine, job, attempt, left_s, spec } => {
-                self.write_node(machine, node::launch(job, left_s, &spec), Tag::Launch(job, attempt));
+            Effect::Launch { machine, job, attempt, left_s, fence, spec } => {
+                // One message, so that the test goes wherever the set-up does, and is taken back with it.
+                let mut lines = fence.map_or_else(Vec::new, |ask| node::check(node::PROOF | ask));
+                lines.extend(node::launch(job, left_s, &spec));
+                self.write_node(machine, lines, Tag::Launch(job, attempt));
             }
             Effect::GiveUp { machine, job } => {
                 let Some(link) = self.nodes.get_mut(&machine) else { return };
