Tell tasks lost at a drain that tells of no end, and swap silent links instead of testing them

Wrong: boxes.rs talk() took a refused dial and the answer to a test for a sign that what stands goes on; nothing bounded the wait. Change: decide/silence is a watch over a link. The dial that comes up takes the silent link's place, and both are heard out: before, a look was closed unread, and what a machine owed on its next connection went with it.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,3 +3,4 @@
 pub mod groups;
 pub mod limits;
 pub mod silence;
+pub mod spread;
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -2,6 +2,7 @@
 
 use super::jobs::Spot;
 use super::*;
+use crate::decide::silence::LOST_S;
 
 /// Seconds. So long a machine that drains and refuses connections is taken to hold what stands there. An end of
 /// which no word came is to be told within 8 s.
@@ -184,10 +185,16 @@
 
     /// A process that is gone refuses connections, and so does one that drains. What stands at the latter goes on
     /// until the list calls it gone, or until its end, untold, would come to its owner too late.
-    pub(super) fn dial_refused(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
+    pub(super) fn dial_refused(
+        &mut self,
+        now: Seconds,
+        machine: MachineId,
+        quiet_s: Seconds,
+        effects: &mut Vec<Effect>,
+    ) {
         let drains = self.nodes.get_mut(&machine).filter(|n| n.entry.standing == Standing::Draining);
         let since = drains.map(|node| *node.refuses_since.get_or_insert(now));
-        if since.is_some_and(|since| now < since + DRAIN_KEEPS_S) {
+        if since.is_some_and(|since| now < since + DRAIN_KEEPS_S) && quiet_s < LOST_S {
             return self.break_trials(now, machine, false, Reason::Unknown, effects);
         }
         self.machine_lost(now, machine, effects);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -46,6 +46,7 @@
 /// The one reducer.
 pub struct Core {
     placer: Placer,
+    seed: u64,
     settings: Settings,
     words: Vocabulary,
     jobs: BTreeMap<RequestId, Job>,
@@ -78,6 +79,7 @@
         let limits = InForce::new(Limits::new(&settings, words.classes().to_vec()));
         Ok(Core {
             placer,
+            seed,
             settings,
             words,
             jobs: BTreeMap::new(),
@@ -108,6 +110,21 @@
         self.words.name(machine)
     }
 
+    /// The planner's seed, new with each start.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
+    /// Whether an attempt that left is out at a machine.
+    pub fn is_open_at(&self, machine: MachineId) -> bool {
+        !self.tried(machine, |t| t.left).is_empty()
+    }
+
+    /// A task that stands at a machine.
+    pub fn one_at(&self, machine: MachineId) -> Option<RequestId> {
+        self.nodes.get(&machine).and_then(|n| n.standing.first().copied())
+    }
+
     /// The settings.
     pub fn settings(&self) -> &Settings {
         &self.settings
@@ -212,7 +229,7 @@
                 self.feed(now, Event::Probed { machine, outcome, report }, effects);
             }
             Input::DialFailed { machine } => self.break_trials(now, machine, false, Reason::Unknown, effects),
-            Input::DialRefused { machine } => self.dial_refused(now, machine, effects),
+            Input::DialRefused { machine, quiet_s } => self.dial_refused(now, machine, quiet_s, effects),
             Input::LinkBroken { machine } => self.break_trials(now, machine, true, Reason::Broken, effects),
             Input::MachineLost { machine, proved } => {
                 self.machine_lost(now, machine, effects);
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -138,7 +138,8 @@
     /// No connection to the machine came up: what waits to be sent never ran.
     DialFailed { machine: MachineId },
     /// The machine refuses connections: its process is gone, or it drains and takes no new ones.
-    DialRefused { machine: MachineId },
+    /// It told of no task, and took no connection, for so long.
+    DialRefused { machine: MachineId, quiet_s: Seconds },
     /// A connection to the machine broke: what was sent on it may have run.
     LinkBroken { machine: MachineId },
     /// The machine or its process is gone with all it held; it may only be out of reach where nothing proves it.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -146,6 +146,7 @@
 /// Shared by all tasks.
 pub struct Hub {
     inner: Mutex<Inner>,
+    seed: u64,
     clock: Clock,
     /// The next alarm may have come nearer.
     pub alarm: Notify,
@@ -157,6 +158,7 @@
     /// A hub, and the machines to which a connection is to be held.
     pub fn new(core: Core, bounds: Bounds) -> (Arc<Hub>, mpsc::UnboundedReceiver<(MachineId, u64)>) {
         let (connects, wanted) = mpsc::unbounded_channel();
+        let seed = core.seed();
         let inner = Inner {
             core,
             nodes: BTreeMap::new(),
@@ -173,6 +175,7 @@
         };
         let hub = Hub {
             inner: Mutex::new(inner),
+            seed,
             clock: Clock::new(),
             alarm: Notify::new(),
             changes: watch::Sender::new(0),
@@ -184,6 +187,11 @@
         self.clock.now()
     }
 
+    /// The planner's seed, new with each start.
+    pub fn seed(&self) -> u64 {
+        self.seed
+    }
+
     pub fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -350,14 +358,16 @@
         let _ = self.connects.send((machine, life));
     }
 
-    /// Asks a box for a sign of life on its connection; the module is not told of the answer.
-    pub fn ask_node(&mut self, machine: MachineId) {
-        let Some(link) = self.nodes.get_mut(&machine) else { return };
-        link.probes += 1;
-        let line = node::check(link.probes);
-        self.write_node(machine, line, Tag::Plain);
-        if trail::is_on() {
-            trail::tested(&self.core, machine);
+    /// Whether closing the connection to a box would lose something: an attempt is open on it, or a message is not yet
+    /// written whole.
+    pub fn is_open_at(&self, machine: MachineId) -> bool {
+        self.nodes.get(&machine).is_some_and(|l| !l.outbox.is_empty()) || self.core.is_open_at(machine)
+    }
+
+    /// Writes a box a word that is free and means nothing: where its process is gone, its host resets the connection.
+    pub fn nudge_node(&mut self, machine: MachineId) {
+        if let Some(job) = self.core.one_at(machine) {
+            self.write_node(machine, node::progress(job), Tag::Plain);
         }
     }
 
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -1,7 +1,8 @@
 //! One long-lived connection to each box, and the watch over boxes that fall silent.
 
 use super::node::{self, take_line, Says, PROOF};
-use crate::decide::silence::{self, is_lost};
+use crate::decide::silence::{is_lost, Dial, Signs, Step, Watch};
+use crate::decide::spread::Draws;
 use crate::placer::*;
 use crate::state::Input;
 use crate::wire::hub::Hub;
@@ -18,11 +19,8 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Time between looks at a connection's health.
 const LOOK: Duration = Duration::from_millis(250);
-/// A box that holds tasks and says nothing for so long is dialled, to see whether it is there at all.
-const SILENCE: Duration = Duration::from_millis(1000);
-/// A box that is asked on its connection has so long to answer: one that stays open but brings nothing any more would
-/// hide the ends of all that stands there.
-const MUTE: Duration = Duration::from_millis(1500);
+/// What a box still says on a connection whose place another took is heard for so long at most.
+const HEAR_OUT: Duration = Duration::from_millis(2000);
 /// A probe that is not answered by then has failed.
 const PROBE: Duration = Duration::from_millis(1000);
 /// A line that is not whole so long after its last byte never will be.
@@ -31,6 +29,9 @@
 const SHORT: Duration = Duration::from_millis(50);
 /// Waits between dials: the first, and the longest.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
+/// The first dials to machines for which nothing waits are spread over so long: all that the list names at once, by all
+/// planners that start or hear of them at once.
+const FIRST: Duration = Duration::from_millis(1000);
 
 /// Starts a task for every machine that is to be connected.
 pub async fn hold_links(
@@ -43,7 +44,7 @@
     }
 }
 
-/// How a dial ended.
+/// How a dial ended, with its connection.
 enum Dialled {
     Up(TcpStream),
     /// Its host says that nobody listens there: the one error that proves anything.
@@ -69,6 +70,18 @@
     }
 }
 
+impl Dialled {
+    fn kind(&self) -> Dial {
+        match self {
+            Dialled::Up(_) => Dial::Up,
+            Dialled::Refused => Dial::Refused,
+            Dialled::Silent => Dial::Silent,
+            Dialled::Short => Dial::Short,
+        }
+    }
+}
+
+#[derive(Clone)]
 struct Link {
     hub: Arc<Hub>,
     machine: MachineId,
@@ -117,9 +130,21 @@
 
     async fn hold(self) {
         let machine = self.machine;
-        let (mut wait, mut word, mut reset) = (AGAIN.0, (Instant::now(), 0), false);
+        let mut draws = Draws::new(self.hub.seed(), self.life);
+        let (mut wait, mut signs, mut reset) = (AGAIN.0, Signs::new(self.hub.now()), false);
+        let mut swapped = None;
+        if let Some((_, wake)) = self.address() {
+            // A set-up that waits does not wait for this.
+            tokio::select! {
+                () = sleep(draws.part(FIRST)) => {}
+                () = wake.notified() => {}
+            }
+        }
         while let Some((address, wake)) = self.address() {
-            let dialled = self.dial(&address).await;
+            let dialled = match swapped.take() {
+                Some(stream) => Dialled::Up(stream),
+                None => self.dial(&address).await,
+            };
             let short = matches!(dialled, Dialled::Short);
             match dialled {
                 Dialled::Up(stream) => {
@@ -127,7 +152,17 @@
                     self.is_silent(false);
                     let _ = stream.set_nodelay(true);
                     self.tell(Input::LinkUp { machine });
-                    let end = self.talk(&stream, &address, &wake, &mut word).await;
+                    let mut buffer = BytesMut::with_capacity(READ_BYTES);
+                    let end = self.talk(&stream, &address, &wake, &mut draws, &mut buffer, &mut signs).await;
+                    let end = match end {
+                        Ok(Some(other)) => {
+                            swapped = Some(other);
+                            tokio::spawn(self.clone().hear_out(stream, buffer));
+                            continue;
+                        }
+                        Ok(None) => Ok(()),
+                        Err(error) => Err(error),
+                    };
                     reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
                     if self.address().is_none() {
                         return; // It left the list; should it be back already, that is another's to tell of.
@@ -148,13 +183,14 @@
                     }
                 }
                 Dialled::Refused => {
-                    word.1 = 0;
+                    signs.silent_dials = 0;
                     self.is_silent(false);
                     // A reset before it tells a process that died from one that drains and takes nobody new.
                     self.tell(if reset {
                         Input::MachineLost { machine, proved: true }
                     } else {
-                        Input::DialRefused { machine }
+                        let quiet_s = self.hub.now() - signs.told;
+                        Input::DialRefused { machine, quiet_s }
                     });
                 }
                 Dialled::Short => {
@@ -163,9 +199,9 @@
                     self.hub.lock().make_room();
                 }
                 Dialled::Silent => {
-                    word.1 += 1;
+                    signs.silent_dials += 1;
                     self.tell(Input::DialFailed { machine });
-                    if is_lost(word.1, word.0.elapsed().as_secs_f64(), self.is_silent(true)) {
+                    if is_lost(signs.silent_dials, self.hub.now() - signs.sign, self.is_silent(true)) {
                         self.tell(Input::MachineLost { machine, proved: false });
                     }
                 }
@@ -175,89 +211,91 @@
             }
             // Whatever it is that resets new connections must not have the planner dial without end.
             tokio::select! {
-                () = sleep(wait) => {}
+                () = sleep(draws.half(wait)) => {}
                 () = wake.notified() => {}
             }
             wait = (wait * 2).min(AGAIN.1);
         }
     }
 
-    /// Speaks on one connection until it ends; keeps when its box was last heard of, and how many dials in a row came
-    /// to nothing since.
+    /// Speaks on one connection until it ends, or until another that came up takes its place; keeps when its box last
+    /// showed a sign, and how many dials in a row came to nothing since.
     async fn talk(
         &self,
         stream: &TcpStream,
         address: &str,
         wake: &Notify,
-        (heard, silent_dials): &mut (Instant, u32),
-    ) -> io::Result<()> {
-        (*heard, *silent_dials) = (Instant::now(), 0);
-        let mut buffer = BytesMut::with_capacity(READ_BYTES);
-        let (mut spoke, mut asked) = (Instant::now(), None::<Instant>);
-        let mut left = Vec::new();
-        let mut looks = tokio::time::interval(LOOK);
+        draws: &mut Draws,
+        buffer: &mut BytesMut,
+        signs: &mut Signs,
+    ) -> io::Result<Option<TcpStream>> {
+        let mut watch = Watch::new(self.hub.now());
+        let (mut left, mut part_since) = (Vec::new(), None::<Instant>);
+        let mut looks = tokio::time::interval_at(tokio::time::Instant::now() + draws.part(LOOK), LOOK);
         looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
+            *signs = watch.signs();
             let at = (self.machine, self.life, address);
-            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(()) };
+            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(None) };
             let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
             tokio::select! {
                 () = wake.notified() => {}
                 _ = looks.tick() => {
-                    if !buffer.is_empty() && heard.elapsed() > HALF {
+                    if part_since.is_some_and(|since| since.elapsed() > HALF) {
                         return Err(io::Error::new(io::ErrorKind::TimedOut, "half a line"));
                     }
                     let (probing, held) = {
                         let inner = self.hub.lock();
                         let link = inner.nodes.get(&self.machine);
                         let late = |l: &crate::wire::hub::NodeLink| l.probe.is_some_and(|at| at.elapsed() > PROBE);
-                        (link.is_some_and(late), inner.core.standing_at(self.machine))
+                        (link.is_some_and(late), inner.core.standing_at(self.machine) > 0)
                     };
                     if probing {
                         self.fail_probe(Outcome::TimedOut);
                     }
-                    match asked {
-                        Some(at) if at.elapsed() > MUTE => {
-                            return Err(io::Error::new(io::ErrorKind::TimedOut, "it brings nothing any more"));
+                    let mut step = watch.look(self.hub.now(), held, draws.draw());
+                    let mut other = None;
+                    if step == Step::Dial {
+                        let dialled = self.dial(address).await;
+                        let dial = dialled.kind();
+                        if let Dialled::Up(up) = dialled {
+                            other = Some(up);
                         }
-                        None if spoke.elapsed().as_secs_f64() > silence::ASK_S && held > 0 => {
-                            self.hub.lock().ask_node(self.machine);
-                            asked = Some(Instant::now());
-                            continue;
+                        if dial != Dial::Short {
+                            self.is_silent(dial == Dial::Silent);
                         }
-                        _ => {}
+                        step = watch.dialled(self.hub.now(), dial, self.hub.lock().is_open_at(self.machine));
                     }
-                    if heard.elapsed() > SILENCE && held > 0 {
-                        // A box that hangs still takes connections; one that vanished does not.
-                        match self.dial(address).await {
-                            Dialled::Silent => {
-                                *silent_dials += 1;
-                                self.is_silent(true);
-                            }
-                            Dialled::Short => {}
-                            _ => {
-                                (*heard, *silent_dials) = (Instant::now(), 0);
-                                self.is_silent(false);
+                    match step {
+                        Step::Wait | Step::Dial => {}
+                        Step::Swap => return Ok(other),
+                        Step::HearOut => {
+                            if let Some(other) = other {
+                                tokio::spawn(self.clone().hear_out(other, BytesMut::new()));
                             }
                         }
-                        if *silent_dials >= silence::DIALS {
+                        Step::Nudge => self.hub.lock().nudge_node(self.machine),
+                        Step::Lost => self.tell(Input::MachineLost { machine: self.machine, proved: false }),
+                        Step::Close => {
+                            *signs = watch.signs();
                             // What is out there is given up with the connection; what stands may be waited for.
-                            if is_lost(*silent_dials, heard.elapsed().as_secs_f64(), self.is_silent(true)) {
+                            let (dials, quiet_s) = (signs.silent_dials, self.hub.now() - signs.sign);
+                            if dials > 0 && is_lost(dials, quiet_s, self.is_silent(true)) {
                                 self.tell(Input::MachineLost { machine: self.machine, proved: false });
                             }
-                            return Err(io::ErrorKind::TimedOut.into());
+                            return Err(io::Error::new(io::ErrorKind::TimedOut, "it brings nothing any more"));
                         }
                     }
                 }
                 ready = stream.ready(interest) => {
                     if ready?.is_readable() {
                         buffer.reserve(READ_BYTES);
-                        match stream.try_read_buf(&mut buffer) {
-                            Ok(0) => return Ok(()),
+                        match stream.try_read_buf(buffer) {
+                            Ok(0) => return Ok(None),
                             Ok(_) => {
-                                (*heard, *silent_dials) = (Instant::now(), 0);
-                                (spoke, asked) = (*heard, None);
-                                self.hear(&mut buffer)?;
+                                let of_task = self.hear(buffer)?;
+                                watch.heard(self.hub.now(), of_task);
+                                part_since = (!buffer.is_empty()).then(Instant::now);
                             }
                             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                             Err(error) => return Err(error),
@@ -268,15 +306,39 @@
         }
     }
 
-    /// Takes all whole lines that have come.
-    fn hear(&self, buffer: &mut BytesMut) -> io::Result<()> {
+    /// Takes what its box says on a connection beside the one in use, until the box ends it.
+    async fn hear_out(self, stream: TcpStream, mut buffer: BytesMut) {
+        let end = async {
+            // Nothing is open on it: the box sends what it owes, and closes.
+            socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Write)?;
+            loop {
+                stream.readable().await?;
+                buffer.reserve(READ_BYTES);
+                match stream.try_read_buf(&mut buffer) {
+                    Ok(0) => return Ok(()),
+                    Ok(_) => _ = self.hear(&mut buffer)?,
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) => return Err(error),
+                }
+            }
+        };
+        let end: Result<io::Result<()>, _> = timeout(HEAR_OUT, end).await;
+        tracing::debug!(machine = self.machine.0, ?end, "the former connection to a box ended");
+    }
+
+    /// Takes all whole lines that have come; tells whether one was about a task.
+    fn hear(&self, buffer: &mut BytesMut) -> io::Result<bool> {
+        let mut of_task = false;
         loop {
             let long = |e| io::Error::new(io::ErrorKind::InvalidData, format!("{e}"));
             let Some((length, line)) = take_line(buffer, node::MOST_BYTES).map_err(long)? else {
-                return Ok(());
+                return Ok(of_task);
             };
             match node::read(line) {
-                Ok(says) => self.take_in(says),
+                Ok(says) => {
+                    of_task |= matches!(says, Says::Running { .. } | Says::Stopped { .. });
+                    self.take_in(says);
+                }
                 // Where one line is spoilt the next may be, too, and what it told is lost: what stands is told of
                 // again on the next connection.
                 Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
--- a/src/wire/platform/node.rs
+++ b/src/wire/platform/node.rs
@@ -208,6 +208,11 @@
     line(json!({"kind": "stop", "uid": uid(job), "meta": {}, "reason": cause}))
 }
 
+/// A word that is free and means nothing.
+pub fn progress(job: RequestId) -> Vec<u8> {
+    line(json!({"kind": "staging", "uid": uid(job), "meta": {}}))
+}
+
 /// Marks the number of a test that is to prove what came to a box before it.
 pub const PROOF: u64 = 1 << 63;
 
--- a/src/wire/trail.rs
+++ b/src/wire/trail.rs
@@ -49,7 +49,7 @@
             tracing::debug!(target: TARGET, machine = name(machine), ask, "heard");
         }
         Input::DialFailed { machine }
-        | Input::DialRefused { machine }
+        | Input::DialRefused { machine, .. }
         | Input::LinkBroken { machine }
         | Input::LinkUp { machine }
         | Input::MachineLost { machine, .. } => {
@@ -92,8 +92,3 @@
         _ => {}
     }
 }
-
-/// A link tested its machine of its own accord.
-pub fn tested(core: &Core, machine: MachineId) {
-    tracing::debug!(target: TARGET, machine = core.name(machine), "tested");
-}
