Hold links on demand where there are more machines than descriptors, and spread dials after faults

Need: each planner held a connection to each machine. Change: decide/links gives places to connections: set-ups before visits, the least used gives way, machines on which tasks only stand are visited every 3 s, owners keep their third of the descriptors. After a connection broke and nothing waits, the next dial comes within 250 ms by the planner's own draw; first dials within 1 s. burlhook-lab fleet measures both from ledgers, owners' connections and the system, with the descriptor limit enforced; the stand-in node writes what it owes before it answers a close. Tests: tests/fleet.rs with real processes, decide/links over drawn histories.

--- a/lab/src/audit.rs
+++ b/lab/src/audit.rs
@@ -78,6 +78,7 @@
                 What::Failed | What::Runs | What::Stopped | What::Lost => {
                     close(open.remove(&of), at, true, &mut attempts, job);
                 }
+                What::Opened => {}
                 What::Closed => {
                     let on_it = |of: &&(u64, u64)| of.1 == entry.connection;
                     let gone: Vec<(u64, u64)> = open.keys().filter(on_it).copied().collect();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -20,6 +20,11 @@
         Clock(Instant::now())
     }
 
+    /// A moment in its time.
+    pub fn at(&self, moment: Instant) -> Duration {
+        moment.saturating_duration_since(self.0)
+    }
+
     /// Time since its start.
     pub fn now(&self) -> Duration {
         self.0.elapsed()
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -45,6 +45,10 @@
     pub room: (f64, f64),
     /// Beyond the deadline, so long an answer is waited for.
     pub patience: Duration,
+    /// Ids on the platform's front follow this one; loads beside each other must not share any.
+    pub ids_after: u64,
+    /// So long after the last answer the releases of what stands are heard.
+    pub hear_on: Duration,
 }
 
 /// How an ask ended.
@@ -73,6 +77,8 @@
     pub twice: u64,
     /// Of those turned away, how many were told when to come back.
     pub told_when: u64,
+    /// When the end of a task that stood was told on the platform's front, by its id.
+    pub released: Vec<(u64, Instant)>,
     /// Microseconds until the answer of those that were placed.
     pub placed_us: Histogram<u64>,
     /// Microseconds until the answer of those that were turned away.
@@ -88,6 +94,7 @@
             asked: 0,
             twice: 0,
             told_when: 0,
+            released: Vec::new(),
             placed_us: histogram(),
             turned_us: histogram(),
         }
@@ -169,9 +176,10 @@
             }
             None => {
                 let link = links[number as usize % OWNERS].clone();
+                let id = shape.ids_after + number + 1;
                 tokio::spawn(async move {
                     let from = Instant::now();
-                    let answer = tokio::time::timeout(patience, link.ask(number + 1, &ask)).await;
+                    let answer = tokio::time::timeout(patience, link.ask(id, &ask)).await;
                     let (end, told) = answer.unwrap_or((End::Unanswered, false));
                     with(&tally, |t| t.book(end, from.elapsed(), told));
                 })
@@ -181,6 +189,7 @@
     for task in asked {
         let _ = task.await;
     }
+    tokio::time::sleep(shape.hear_on).await;
     Ok(with(&tally, |t| t.clone()))
 }
 
@@ -325,7 +334,7 @@
                 let _ = waits.send((end, away.is_some_and(|ms| ms > 0)));
             }
             // The release of what stood, once.
-            (12, None) if placed.remove(&id) => {}
+            (12, None) if placed.remove(&id) => with(&tally, |t| t.released.push((id, Instant::now()))),
             (9 | 12, None) => with(&tally, |t| t.twice += 1),
             _ => {}
         }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,7 +3,7 @@
 use burlhook_lab::load::End;
 use burlhook_lab::node::{Node, Plan};
 use burlhook_lab::planner::Program;
-use burlhook_lab::rigs::{brownout, demo, groups, reload};
+use burlhook_lab::rigs::{brownout, demo, fleet, groups, reload};
 use burlhook_lab::Clock;
 use clap::{Parser, Subcommand};
 use std::io;
@@ -95,6 +95,36 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Planners over more machines than descriptors, or that share a fault: how late ends are told, and dials in step.
+    Fleet {
+        /// The planner's program; this one's own planner if absent.
+        #[arg(long)]
+        planner: Option<PathBuf>,
+        /// Planners.
+        #[arg(long, default_value_t = 1)]
+        planners: usize,
+        /// Machines.
+        #[arg(long, default_value_t = 400)]
+        nodes: usize,
+        /// Descriptors of each planner.
+        #[arg(long, default_value_t = 256)]
+        sockets: u32,
+        /// Planners that the settings tell of.
+        #[arg(long, default_value_t = 16)]
+        listed: u32,
+        /// Asks a second, over all planners.
+        #[arg(long, default_value_t = 100.0)]
+        rate: f64,
+        /// Seconds.
+        #[arg(long, default_value_t = 20)]
+        seconds: u64,
+        /// All connections to machines are reset at half of the time.
+        #[arg(long)]
+        reset: bool,
+        /// Seed of nodes and load.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// The planner itself, as the rigs start it.
     #[command(hide = true)]
     Planner {
@@ -112,6 +142,22 @@
     }
 }
 
+fn print_fleet(report: &fleet::Report) {
+    let asked: u64 = report.tallies.iter().map(|t| t.asked).sum();
+    let twice: u64 = report.tallies.iter().map(|t| t.twice).sum();
+    println!(
+        "asked {asked} placed {} unanswered {} twice {twice}",
+        report.count(End::Placed),
+        report.count(End::Unanswered)
+    );
+    let late = [0.5, 0.99, 1.0].map(|share| report.late(share));
+    println!("ends told after p50 {} p99 {} most {} ms; untold {}", late[0], late[1], late[2], report.untold);
+    let ticks: u64 = report.used.iter().map(|u| u.cpu_ticks).sum();
+    let peak = report.used.iter().map(|u| u.peak_kib).max().unwrap_or_default();
+    println!("descriptors {} CPU {} ms peak {peak} KiB", report.descriptors, ticks * 10);
+    println!("connections in 2 s and in the worst tenth: start {:?}, fault {:?}", report.start, report.fault);
+}
+
 fn print_reload(report: &reload::Report) {
     let reload::Report { tally, verdict, used, reloads, in_force } = report;
     let ms = |h: &hdrhistogram::Histogram<u64>, q: f64| h.value_at_quantile(q) as f64 / 1e3;
@@ -186,6 +232,24 @@
             }
             Ok(well)
         }
+        Command::Fleet { planner, planners, nodes, sockets, listed, rate, seconds, reset, seed } => {
+            let span = Duration::from_secs(seconds);
+            let options = fleet::Options {
+                planners,
+                nodes,
+                sockets,
+                listed,
+                rate,
+                span,
+                reset,
+                seed,
+                ..Default::default()
+            };
+            println!("seed {seed}");
+            let report = fleet::run(&program(planner)?, &options)?;
+            print_fleet(&report);
+            Ok(report.untold == 0 && report.count(End::Unanswered) == 0)
+        }
         Command::Groups { planner, groups, seconds, load, naive, calm, seed } => {
             let (span, faults) = (Duration::from_secs(seconds), !calm);
             let options = groups::Options { groups, span, load, naive, faults, seed, ..Default::default() };
--- a/lab/src/node/connection.rs
+++ b/lab/src/node/connection.rs
@@ -27,7 +27,8 @@
     let (out, mut queue) = unbounded_channel::<Value>();
     let mut life = shared.life.subscribe();
     life.mark_unchanged();
-    shared.lock().open(id, out);
+    let now = shared.clock.now();
+    shared.lock().open(now, id, out);
     let mut waiting: VecDeque<Value> = VecDeque::new();
     let (read, mut write) = stream.split();
     let mut lines = BufReader::new(read).lines();
@@ -56,7 +57,13 @@
         let look = pause.min(Duration::from_millis(20));
         tokio::select! {
             line = lines.next_line() => match line? {
-                None => break Ok(()),
+                None => {
+                    // What is owed is written before the other end's close is answered.
+                    while let Ok(message) = queue.try_recv() {
+                        write.write_all(format!("{message}\n").as_bytes()).await?;
+                    }
+                    break Ok(());
+                }
                 Some(line) => {
                     let message: Value = serde_json::from_str(&line).map_err(io::Error::other)?;
                     arrived(shared, id, &message);
--- a/lab/src/node/ledger.rs
+++ b/lab/src/node/ledger.rs
@@ -35,6 +35,8 @@
     Cut,
     /// The task came to its end.
     Ended,
+    /// A connection came up.
+    Opened,
     /// Its connection is closed.
     Closed,
     /// It went with its process.
--- a/lab/src/node/state.rs
+++ b/lab/src/node/state.rs
@@ -90,7 +90,8 @@
     }
 
     /// A connection is open: it gets the releases that found none.
-    pub fn open(&mut self, connection: u64, out: UnboundedSender<Value>) {
+    pub fn open(&mut self, now: Duration, connection: u64, out: UnboundedSender<Value>) {
+        self.ledger.book(now, 0, connection, What::Opened);
         self.owed.drain(..).for_each(|message| drop(out.send(message)));
         self.links.insert(connection, out);
     }
--- a/lab/src/planner.rs
+++ b/lab/src/planner.rs
@@ -20,6 +20,14 @@
 }
 
 impl Program {
+    /// The same under a limit on descriptors that the system enforces.
+    pub fn within(&self, descriptors: u32) -> Program {
+        let path = self.path.to_string_lossy().into_owned();
+        let mut words = vec!["-c".into(), format!("ulimit -n {descriptors}; exec \"$0\" \"$@\""), path];
+        words.extend(self.words.iter().cloned());
+        Program { path: "/bin/sh".into(), words, operators_flag: self.operators_flag.clone() }
+    }
+
     /// The planner's own program.
     pub fn at(path: impl AsRef<Path>) -> Program {
         let (path, operators_flag) = (path.as_ref().to_path_buf(), "--operators".into());
@@ -134,6 +142,11 @@
         }
     }
 
+    /// Descriptors that it holds now.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, |all| all.count())
+    }
+
     /// What it has used so far.
     pub fn used(&self) -> Used {
         let read = |name: &str| std::fs::read_to_string(format!("/proc/{}/{name}", self.child.id()));
--- a/lab/src/rigs/brownout.rs
+++ b/lab/src/rigs/brownout.rs
@@ -80,6 +80,8 @@
     let addresses: Vec<SocketAddr> = nodes.iter().map(|n| n.address()).collect();
     let planner = Planner::start(program, &config(&addresses, options.seed), Some(&file))?;
     let shape = Shape {
+        ids_after: 0,
+        hear_on: Duration::ZERO,
         rate: options.rate,
         span: calm + brown + after,
         rest: 0.5,
--- a/lab/src/rigs/mod.rs
+++ b/lab/src/rigs/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod brownout;
 pub mod demo;
+pub mod fleet;
 pub mod groups;
 pub mod reload;
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod groups;
 pub mod limits;
+pub mod links;
 pub mod silence;
 pub mod spread;
--- a/src/life/config.rs
+++ b/src/life/config.rs
@@ -42,6 +42,10 @@
 /// Share of the descriptors that owners' connections may take. Owners hold a third at most; the rest is for those
 /// that ask once and stay.
 const OWNERS_SHARE: f64 = 0.5;
+/// Share of the descriptors that owners hold at most, and that no connection to a box takes from them.
+const OWNERS_HOLD: f64 = 1.0 / 3.0;
+/// Share of the descriptors, and the least count, kept for the board, listeners, dials and connections that end.
+const SPARE: (f64, f64) = (1.0 / 16.0, 16.0);
 /// Share of the memory that may wait in the queues of all owners' connections, and in those of all boxes.
 const QUEUES_SHARE: f64 = 0.125;
 /// Share of the memory that jobs which wait may take, and that tasks which stand may take.
@@ -80,7 +84,10 @@
         let owners = (f64::from(self.sockets) * OWNERS_SHARE).max(1.0);
         let queues = self.memory_mb.max(0.0) * MEGABYTE * QUEUES_SHARE;
         let queue = |connections: f64| (queues / connections).clamp(QUEUE.0, QUEUE.1) as usize;
-        Bounds { owners: owners as usize, owner_queue: queue(owners), box_queue: queue(BOXES) }
+        let sockets = f64::from(self.sockets);
+        let links = sockets - sockets * OWNERS_HOLD - (sockets * SPARE.0).max(SPARE.1);
+        let links = links.max(1.0) as usize;
+        Bounds { owners: owners as usize, owner_queue: queue(owners), box_queue: queue(BOXES), links }
     }
 }
 
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -186,7 +186,7 @@
                 tracing::error!(%error, "the new configuration cannot be used; the old one stays in force")
             }
             Ok(new) => {
-                hub.lock().bounds = new.limits.bounds();
+                hub.lock().set_bounds(new.limits.bounds());
                 self.board.send_replace(new.source());
             }
         }
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -5,6 +5,7 @@
 use super::platform::node::{self, cause};
 use super::platform::owner;
 use super::trail;
+use crate::decide::links::{Need, Places};
 use crate::placer::*;
 use crate::state::{Core, Effect, Input, Owner, Refusal};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -40,6 +41,8 @@
     pub owner_queue: usize,
     /// Bytes that may wait for one box.
     pub box_queue: usize,
+    /// Connections to boxes.
+    pub links: usize,
 }
 
 /// A span of time; none where it is past, the longest where no clock can tell it.
@@ -132,6 +135,8 @@
     orphans: VecDeque<Orphan>,
     effects: Vec<Effect>,
     pub bounds: Bounds,
+    /// The places for connections to boxes.
+    pub places: Places,
     connects: mpsc::UnboundedSender<(MachineId, u64)>,
     next_link: u64,
     /// Machines that no dial reaches now.
@@ -167,6 +172,7 @@
             orphans: VecDeque::new(),
             effects: Vec::new(),
             bounds,
+            places: Places::new(bounds.links),
             connects,
             next_link: 0,
             silent: BTreeSet::new(),
@@ -297,6 +303,7 @@
             Effect::Connect { machine, address } => self.connect(machine, address),
             Effect::Disconnect { machine } => {
                 self.silent.remove(&machine);
+                self.yield_place(now, machine);
                 if let Some(link) = self.nodes.remove(&machine) {
                     link.wake.notify_one();
                 }
@@ -358,6 +365,67 @@
         let _ = self.connects.send((machine, life));
     }
 
+    /// New bounds; connections that are up stay until their places are wanted.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+        self.places.set_most(bounds.links);
+    }
+
+    /// Takes a place for the connection to a box, or has it wait for one; the box's task is woken once it has it.
+    pub fn want_place(&mut self, now: Seconds, machine: MachineId, need: Need) -> bool {
+        let had = self.places.want(now, machine, need);
+        if !had {
+            self.press(now);
+        }
+        had
+    }
+
+    /// Has connections of least use given back, as long as others wait for their places.
+    pub fn press(&mut self, now: Seconds) {
+        let Inner { places, nodes, core, .. } = self;
+        let idle = |machine: MachineId| {
+            let free = nodes.get(&machine).is_some_and(|l| l.outbox.is_empty() && l.probe.is_none());
+            free && !core.is_open_at(machine)
+        };
+        while let Some(machine) = places.give_back(now, idle) {
+            if let Some(link) = nodes.get(&machine) {
+                link.wake.notify_one();
+            }
+        }
+    }
+
+    /// Whether the connection to a box is to be given back now; where something was opened on it meanwhile, another is.
+    pub fn is_asked_back(&mut self, now: Seconds, machine: MachineId) -> bool {
+        if !self.places.is_asked(machine) {
+            return false;
+        }
+        let probing = self.nodes.get(&machine).is_some_and(|l| l.probe.is_some());
+        if !probing && !self.is_open_at(machine) {
+            return true;
+        }
+        self.places.keep(machine);
+        self.press(now);
+        false
+    }
+
+    /// The connection to a box is closed; its place goes to the next that waits.
+    pub fn yield_place(&mut self, now: Seconds, machine: MachineId) {
+        if let Some(next) = self.places.release(now, machine).and_then(|next| self.nodes.get(&next)) {
+            next.wake.notify_one();
+        }
+    }
+
+    /// What a connection to a box is wanted for.
+    pub fn need(&self, machine: MachineId) -> Need {
+        if self.nodes.get(&machine).is_some_and(|l| !l.outbox.is_empty()) {
+            Need::Now
+        } else if self.core.standing_at(machine) > 0 {
+            Need::Visit
+        } else {
+            Need::Spare
+        }
+    }
+
     /// Whether closing the connection to a box would lose something: an attempt is open on it, or a message is not yet
     /// written whole.
     pub fn is_open_at(&self, machine: MachineId) -> bool {
@@ -508,7 +576,7 @@
     use crate::state::{Ask, Notice, Spec};
 
     fn hub(owners: usize) -> Arc<Hub> {
-        Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64 }).0
+        Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64, links: 9 }).0
     }
 
     fn open(inner: &mut Inner, now: Seconds) -> Option<u64> {
@@ -534,7 +602,7 @@
     fn what_left_before_an_error_may_have_run() {
         for taken in [0, 10, 1 << 20] {
             let (hub, _wanted) =
-                Hub::new(core("once"), Bounds { owners: 9, owner_queue: 4096, box_queue: 4096 });
+                Hub::new(core("once"), Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: 9 });
             let name = hub.lock().core.words().machine("b");
             let entry = Entry {
                 machine: name,
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -1,11 +1,12 @@
 //! One long-lived connection to each box, and the watch over boxes that fall silent.
 
 use super::node::{self, take_line, Says, PROOF};
+use crate::decide::links::{Need, VISIT_S};
 use crate::decide::silence::{is_lost, Dial, Signs, Step, Watch};
 use crate::decide::spread::Draws;
 use crate::placer::*;
 use crate::state::Input;
-use crate::wire::hub::Hub;
+use crate::wire::hub::{seconds, Hub};
 use bytes::{Buf, BytesMut};
 use std::io;
 use std::sync::Arc;
@@ -29,6 +30,8 @@
 const SHORT: Duration = Duration::from_millis(50);
 /// Waits between dials: the first, and the longest.
 const AGAIN: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(1000));
+/// After a connection broke, the next dial comes within so long where nothing waits for it.
+const BROKEN: Duration = Duration::from_millis(250);
 /// The first dials to machines for which nothing waits are spread over so long: all that the list names at once, by all
 /// planners that start or hear of them at once.
 const FIRST: Duration = Duration::from_millis(1000);
@@ -81,6 +84,16 @@
     }
 }
 
+/// How a connection ended without an error.
+enum End {
+    /// Its box closed it, or it left the list.
+    Closed,
+    /// Another that came up takes its place.
+    Swap(TcpStream),
+    /// Its descriptor is wanted for another box.
+    GivenBack,
+}
+
 #[derive(Clone)]
 struct Link {
     hub: Arc<Hub>,
@@ -140,7 +153,11 @@
                 () = wake.notified() => {}
             }
         }
+        let mut given_back = None;
         while let Some((address, wake)) = self.address() {
+            if !self.has_place(&wake, &mut draws, given_back).await {
+                continue;
+            }
             let dialled = match swapped.take() {
                 Some(stream) => Dialled::Up(stream),
                 None => self.dial(&address).await,
@@ -155,12 +172,19 @@
                     let mut buffer = BytesMut::with_capacity(READ_BYTES);
                     let end = self.talk(&stream, &address, &wake, &mut draws, &mut buffer, &mut signs).await;
                     let end = match end {
-                        Ok(Some(other)) => {
+                        Ok(End::Swap(other)) => {
                             swapped = Some(other);
                             tokio::spawn(self.clone().hear_out(stream, buffer));
                             continue;
                         }
-                        Ok(None) => Ok(()),
+                        Ok(End::GivenBack) => {
+                            // Nothing is open on it. The place is free once the descriptor is.
+                            self.clone().hear_out(stream, buffer).await;
+                            given_back = Some(self.hub.now());
+                            self.hub.lock().yield_place(self.hub.now(), machine);
+                            continue;
+                        }
+                        Ok(End::Closed) => Ok(()),
                         Err(error) => Err(error),
                     };
                     reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
@@ -179,6 +203,13 @@
                     }
                     if up.elapsed() > SHORT {
                         wait = AGAIN.0;
+                        // What broke it may have broken the connections of all planners. A set-up does not wait.
+                        if self.hub.lock().need(machine) != Need::Now {
+                            tokio::select! {
+                                () = sleep(draws.part(BROKEN)) => {}
+                                () = wake.notified() => {}
+                            }
+                        }
                         continue;
                     }
                 }
@@ -209,6 +240,13 @@
             if !short {
                 self.fail_probe(Outcome::ConnectFailed);
             }
+            {
+                // One that cannot be reached keeps nobody's place while it waits.
+                let mut inner = self.hub.lock();
+                if inner.places.is_short() {
+                    inner.yield_place(self.hub.now(), machine);
+                }
+            }
             // Whatever it is that resets new connections must not have the planner dial without end.
             tokio::select! {
                 () = sleep(draws.half(wait)) => {}
@@ -218,6 +256,28 @@
         }
     }
 
+    /// Whether there is a place for the connection. Where there is none, waits until there may be one: at once where
+    /// something is to be written, after a while where tasks stand.
+    async fn has_place(&self, wake: &Notify, draws: &mut Draws, given_back: Option<Seconds>) -> bool {
+        let (wait, had) = {
+            let mut inner = self.hub.lock();
+            let (now, need) = (self.hub.now(), inner.need(self.machine));
+            let visit_in = given_back.map_or(0.0, |at| at + VISIT_S - now);
+            if need == Need::Visit && visit_in > 0.0 && !inner.places.is_held(self.machine) {
+                (visit_in * (0.75 + 0.25 * draws.draw()), false)
+            } else {
+                (VISIT_S, inner.want_place(now, self.machine, need))
+            }
+        };
+        if !had {
+            tokio::select! {
+                () = sleep(seconds(wait)) => {}
+                () = wake.notified() => {}
+            }
+        }
+        had
+    }
+
     /// Speaks on one connection until it ends, or until another that came up takes its place; keeps when its box last
     /// showed a sign, and how many dials in a row came to nothing since.
     async fn talk(
@@ -228,7 +288,7 @@
         draws: &mut Draws,
         buffer: &mut BytesMut,
         signs: &mut Signs,
-    ) -> io::Result<Option<TcpStream>> {
+    ) -> io::Result<End> {
         let mut watch = Watch::new(self.hub.now());
         let (mut left, mut part_since) = (Vec::new(), None::<Instant>);
         let mut looks = tokio::time::interval_at(tokio::time::Instant::now() + draws.part(LOOK), LOOK);
@@ -236,16 +296,22 @@
         loop {
             *signs = watch.signs();
             let at = (self.machine, self.life, address);
-            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(None) };
+            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(End::Closed) };
+            if self.hub.lock().is_asked_back(self.hub.now(), self.machine) {
+                return Ok(End::GivenBack);
+            }
             let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
             tokio::select! {
-                () = wake.notified() => {}
+                () = wake.notified() => self.hub.lock().places.used(self.hub.now(), self.machine),
                 _ = looks.tick() => {
                     if part_since.is_some_and(|since| since.elapsed() > HALF) {
                         return Err(io::Error::new(io::ErrorKind::TimedOut, "half a line"));
                     }
                     let (probing, held) = {
-                        let inner = self.hub.lock();
+                        let mut inner = self.hub.lock();
+                        if inner.places.is_short() {
+                            inner.press(self.hub.now());
+                        }
                         let link = inner.nodes.get(&self.machine);
                         let late = |l: &crate::wire::hub::NodeLink| l.probe.is_some_and(|at| at.elapsed() > PROBE);
                         (link.is_some_and(late), inner.core.standing_at(self.machine) > 0)
@@ -268,7 +334,7 @@
                     }
                     match step {
                         Step::Wait | Step::Dial => {}
-                        Step::Swap => return Ok(other),
+                        Step::Swap => return Ok(other.map_or(End::Closed, End::Swap)),
                         Step::HearOut => {
                             if let Some(other) = other {
                                 tokio::spawn(self.clone().hear_out(other, BytesMut::new()));
@@ -291,8 +357,9 @@
                     if ready?.is_readable() {
                         buffer.reserve(READ_BYTES);
                         match stream.try_read_buf(buffer) {
-                            Ok(0) => return Ok(None),
+                            Ok(0) => return Ok(End::Closed),
                             Ok(_) => {
+                                self.hub.lock().places.used(self.hub.now(), self.machine);
                                 let of_task = self.hear(buffer)?;
                                 watch.heard(self.hub.now(), of_task);
                                 part_since = (!buffer.is_empty()).then(Instant::now);
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,40 @@
+//! Planners as processes over stand-in machines: more machines than descriptors, and faults that planners share.
+
+use burlhook_lab::load::End;
+use burlhook_lab::planner::Program;
+use burlhook_lab::rigs::fleet::{run, Options};
+use std::time::Duration;
+
+fn program() -> Program {
+    Program::at(env!("CARGO_BIN_EXE_burlhook"))
+}
+
+/// Guards owners and their tasks where a planner has fewer descriptors than machines: each is served, the end of each
+/// task is told within the protocol's 8 s also where no connection is held, and the limit, which the system enforces, is
+/// never reached.
+#[test]
+fn more_machines_than_descriptors() {
+    let (sockets, rate, span) = (64, 60.0, Duration::from_secs(5));
+    let options = Options { nodes: 120, sockets, rate, span, life_ms: (500, 4_000), ..Options::default() };
+    let report = run(&program(), &options).expect("it runs");
+    let asked: u64 = report.tallies.iter().map(|t| t.asked).sum();
+    assert_eq!((asked, report.count(End::Placed)), (300, 300), "each is placed");
+    assert_eq!((report.late_ms.len(), report.untold), (300, 0), "each end is told, and once");
+    assert!(report.late(1.0) < 8_000, "the last after {} ms", report.late(1.0));
+    // Owners and the program itself hold some 25; the rest is in use, so the links did go round.
+    assert!((30..64).contains(&report.descriptors), "{} descriptors", report.descriptors);
+}
+
+/// Guards machines against planners in step: those that start together, and those whose connections broke together, do
+/// not all come in the same moment.
+#[test]
+fn planners_do_not_dial_in_step() {
+    let span = Duration::from_secs(3);
+    let options =
+        Options { planners: 8, nodes: 20, rate: 40.0, span, life_ms: (500, 1_000), ..Options::default() };
+    let report = run(&program(), &options).expect("it runs");
+    let (dials, burst) = report.start;
+    assert!(dials >= 160, "each machine is connected: {dials}");
+    assert!(burst * 3 < dials, "{burst} of {dials} in a tenth of a second");
+    assert_eq!(report.count(End::Placed), 120);
+}
