Close a connection before what was open on it goes elsewhere

Excluded: places (422 of 474 taken, nobody waited), swapped connections (none with an attempt open), the fence (no machine twice). Wrong: hold() in boxes.rs kept the socket through the wait of up to 250 ms that put after LinkBroken; a connection that is closed has given up what is open on it, one that is told broken and is open has not. Change: the socket is reset and dropped before the core hears that the link broke.

--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -188,6 +188,13 @@
                         Err(error) => Err(error),
                     };
                     reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
+                    // Closing it gives up what is open on it, and only then may that go elsewhere.
+                    if let Err(error) = &end {
+                        tracing::debug!(machine = machine.0, %error, "the connection to a box broke");
+                        // What lies in the socket must not reach a box that comes back.
+                        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                    }
+                    drop(stream);
                     if self.address().is_none() {
                         return; // It left the list; should it be back already, that is another's to tell of.
                     }
@@ -196,11 +203,6 @@
                     }
                     self.fail_probe(Outcome::Lost);
                     self.tell(Input::LinkBroken { machine });
-                    if let Err(error) = end {
-                        tracing::debug!(machine = machine.0, %error, "the connection to a box broke");
-                        // What lies in the socket must not reach a box that comes back.
-                        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-                    }
                     if up.elapsed() > SHORT {
                         wait = AGAIN.0;
                         // What broke it may have broken the connections of all planners. A set-up does not wait.
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -4,7 +4,8 @@
 
 use exchange::{instance, settings, stand_in, unescape, Planner, Wire};
 use serde_json::json;
-use std::net::TcpStream;
+use std::io::ErrorKind::{TimedOut, WouldBlock};
+use std::net::{TcpListener, TcpStream};
 use std::process::Command;
 
 const SET_UP: &str = "\\x00_\\x01\\x00\\x00\\x00\\x00\\x00\\x00\\x00\\x01\\x03\\x00\\x09stateless\\x04\\x00\\x045000\\x07\\x00\\x01c\
@@ -256,3 +257,32 @@
     assert_eq!(mix[1]["job"], job("keyed", "shop.example/notices", 1.0, 0.5, "POST /notices/7"));
     assert_eq!((&mix[1]["atMs"], mix[1]["key"].as_str().map(str::len)), (&json!(1500), Some(16)));
 }
+
+/// Guards the rule of one attempt out: a connection that the planner gives up is closed, which gives up what is open on
+/// it, before that goes elsewhere.
+#[test]
+fn a_connection_is_closed_before_its_attempts_go_elsewhere() {
+    let boxes: Vec<TcpListener> = (0..2).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    let addresses: Vec<String> =
+        boxes.iter().map(|b| b.local_addr().expect("its address").to_string()).collect();
+    let planner = Planner::start(&addresses, None, None);
+    let mut wires: Vec<Wire> =
+        boxes.iter().map(|b| Wire::new(b.accept().expect("the planner connects").0)).collect();
+    let mut owner = Wire::connect(&planner.owners);
+    owner.send(&unescape(SET_UP));
+    let wait = |wire: &Wire, ms| {
+        wire.stream.set_read_timeout(Some(std::time::Duration::from_millis(ms))).expect("a time-out");
+    };
+    // It goes to either; the one that got it writes what cannot be read.
+    wires.iter().for_each(|wire| wait(wire, 20));
+    let asked = |wire: &Wire| matches!(wire.stream.peek(&mut [0]), Ok(1));
+    let first = (0..).map(|turn| turn % 2).find(|&at| asked(&wires[at])).expect("a set-up");
+    wires.iter().for_each(|wire| wait(wire, 10_000));
+    wires[first].line().expect("a set-up");
+    wires[first].send(b"?\n");
+    wires[1 - first].line().expect("the set-up goes to the other");
+    wait(&wires[first], 2);
+    let end = std::io::Read::read(&mut wires[first].stream, &mut [0]);
+    let open = matches!(&end, Err(e) if matches!(e.kind(), WouldBlock | TimedOut));
+    assert!(!open, "the connection is open still: {end:?}");
+}
