--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,5 +1,6 @@
 //! What subsystems decide: a module each, pure, without I/O, clock or random source of its own.
 
+pub mod budgets;
 pub mod groups;
 pub mod limits;
 pub mod links;
