--- a/src/decide/budgets/mod.rs
+++ b/src/decide/budgets/mod.rs
@@ -359,11 +359,6 @@
         }
         None
     }
-
-    /// When [`Share::tick`] is wanted next at the latest.
-    pub fn next_tick(&self, now: Micros) -> Micros {
-        now + self.terms.ask_every
-    }
 }
 
 #[cfg(test)]
--- a/src/decide/budgets/tests.rs
+++ b/src/decide/budgets/tests.rs
@@ -244,9 +244,12 @@
                 let life = self.rng.gen();
                 let members = self.planners.len() as Member;
                 let planner = &mut self.planners[usize::from(of)];
+                let first = planner.life == 0;
                 planner.life = life;
                 let share = Share::new((of, members), life, (self.whole, 0), TERMS, clock);
-                if planner.share.replace(share).is_none() && self.count < u64::MAX {
+                planner.share = Some(share);
+                // Its ticks go on over all its lives.
+                if first {
                     self.at(0, Due::Tick(of));
                 }
             }
--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -383,13 +383,11 @@
     /// Books that a copy of a job may be at a machine until that says otherwise; one of a member is cut again
     /// whenever its machine comes back.
     pub(super) fn unproved(&mut self, job: RequestId, machine: MachineId) {
-        if self.nodes.contains_key(&machine) {
-            self.ghosts.book(job, machine);
-        }
-        let Some(Owner::Group { group, member }) = self.jobs.get(&job).map(|j| j.owner) else { return };
         if !self.nodes.contains_key(&machine) {
             return; // It has left the list: its process is gone.
         }
+        self.ghosts.book(job, machine);
+        let Some(Owner::Group { group, member }) = self.jobs.get(&job).map(|j| j.owner) else { return };
         if !self.groups.cuts.contains_key(&job) {
             if self.groups.cut_order.len() >= MOST_CUTS {
                 if let Some(oldest) = self.groups.cut_order.pop_front() {
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -151,7 +151,6 @@
 /// Shared by all tasks.
 pub struct Hub {
     inner: Mutex<Inner>,
-    seed: u64,
     clock: Clock,
     /// The next alarm may have come nearer.
     pub alarm: Notify,
@@ -163,7 +162,6 @@
     /// A hub, and the machines to which a connection is to be held.
     pub fn new(core: Core, bounds: Bounds) -> (Arc<Hub>, mpsc::UnboundedReceiver<(MachineId, u64)>) {
         let (connects, wanted) = mpsc::unbounded_channel();
-        let seed = core.seed();
         let inner = Inner {
             core,
             nodes: BTreeMap::new(),
@@ -181,7 +179,6 @@
         };
         let hub = Hub {
             inner: Mutex::new(inner),
-            seed,
             clock: Clock::new(),
             alarm: Notify::new(),
             changes: watch::Sender::new(0),
@@ -195,7 +192,7 @@
 
     /// The planner's seed, new with each start.
     pub fn seed(&self) -> u64 {
-        self.seed
+        self.lock().core.seed()
     }
 
     pub fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -272,6 +269,12 @@
     }
 }
 
+/// Whether nothing is open on the connection to a box, not even a probe.
+fn is_idle(nodes: &BTreeMap<MachineId, NodeLink>, core: &Core, machine: MachineId) -> bool {
+    let free = nodes.get(&machine).is_some_and(|l| l.outbox.is_empty() && l.probe.is_none());
+    free && !core.is_open_at(machine)
+}
+
 impl Inner {
     fn carry_out(&mut self, now: Seconds, effect: Effect) {
         match effect {
@@ -383,11 +386,7 @@
     /// Has connections of least use given back, as long as others wait for their places.
     pub fn press(&mut self, now: Seconds) {
         let Inner { places, nodes, core, .. } = self;
-        let idle = |machine: MachineId| {
-            let free = nodes.get(&machine).is_some_and(|l| l.outbox.is_empty() && l.probe.is_none());
-            free && !core.is_open_at(machine)
-        };
-        while let Some(machine) = places.give_back(now, idle) {
+        while let Some(machine) = places.give_back(now, |machine| is_idle(nodes, core, machine)) {
             if let Some(link) = nodes.get(&machine) {
                 link.wake.notify_one();
             }
@@ -399,8 +398,7 @@
         if !self.places.is_asked(machine) {
             return false;
         }
-        let probing = self.nodes.get(&machine).is_some_and(|l| l.probe.is_some());
-        if !probing && !self.is_open_at(machine) {
+        if is_idle(&self.nodes, &self.core, machine) {
             return true;
         }
         self.places.keep(machine);
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -71,9 +71,7 @@
             _ => Dialled::Silent,
         }
     }
-}
 
-impl Dialled {
     fn kind(&self) -> Dial {
         match self {
             Dialled::Up(_) => Dial::Up,
@@ -84,6 +82,14 @@
     }
 }
 
+/// Waits for so long, or until something is to be written.
+async fn woken_within(wake: &Notify, span: Duration) {
+    tokio::select! {
+        () = sleep(span) => {}
+        () = wake.notified() => {}
+    }
+}
+
 /// How a connection ended without an error.
 enum End {
     /// Its box closed it, or it left the list.
@@ -148,10 +154,7 @@
         let mut swapped = None;
         if let Some((_, wake)) = self.address() {
             // A set-up that waits does not wait for this.
-            tokio::select! {
-                () = sleep(draws.part(FIRST)) => {}
-                () = wake.notified() => {}
-            }
+            woken_within(&wake, draws.part(FIRST)).await;
         }
         let mut given_back = None;
         while let Some((address, wake)) = self.address() {
@@ -207,10 +210,7 @@
                         wait = AGAIN.0;
                         // What broke it may have broken the connections of all planners. A set-up does not wait.
                         if self.hub.lock().need(machine) != Need::Now {
-                            tokio::select! {
-                                () = sleep(draws.part(BROKEN)) => {}
-                                () = wake.notified() => {}
-                            }
+                            woken_within(&wake, draws.part(BROKEN)).await;
                         }
                         continue;
                     }
@@ -250,10 +250,7 @@
                 }
             }
             // Whatever it is that resets new connections must not have the planner dial without end.
-            tokio::select! {
-                () = sleep(draws.half(wait)) => {}
-                () = wake.notified() => {}
-            }
+            woken_within(&wake, draws.half(wait)).await;
             wait = (wait * 2).min(AGAIN.1);
         }
     }
@@ -272,10 +269,7 @@
             }
         };
         if !had {
-            tokio::select! {
-                () = sleep(seconds(wait)) => {}
-                () = wake.notified() => {}
-            }
+            woken_within(wake, seconds(wait)).await;
         }
         had
     }
