Draw the ends of bars at each planner, so that probes after a shared fault are not in step

Seen: after a time-out that all planners share, the module's bars (Bar in placer/records.rs) ended at all of them alike; of 60 placers that lost one machine at the same moment, 60 looked for it again within one tenth of a second. Checked and excluded: the times of look() are the planner's own events and spread nothing, as a bar's end is what they wait for; the pause after a refusal is drawn already. Each bar is now shortened by up to a quarter by a draw of the planner's seed and what failed; its bounds stay.

--- a/src/placer/records.rs
+++ b/src/placer/records.rs
@@ -173,6 +173,8 @@
     pub first: (Seconds, f64),
     pub most: (Seconds, f64),
     pub gap_s: Seconds,
+    /// Share by which each placer's draw shortens them, so that placers with a fault in common do not return in step.
+    pub spread: f64,
 }
 
 /// Bars a machine for longer with each failure in a row; those that come in one bar count as one.
@@ -183,13 +185,13 @@
 }
 
 impl Bar {
-    /// `gap` is the usual time between own tasks.
-    pub fn fail(&mut self, now: Seconds, gap: Seconds, spans: BarSpans) {
+    /// `gap` is the usual time between own tasks, `draw` the placer's own from 0 to 1.
+    pub fn fail(&mut self, now: Seconds, (gap, draw): (Seconds, f64), spans: BarSpans) {
         if now >= self.until {
             let length = |(seconds, tasks): (Seconds, f64)| seconds.max(tasks * gap.min(spans.gap_s));
             let first = length(spans.first) * f64::from(2u32.saturating_pow(self.failures));
             self.failures = self.failures.saturating_add(1);
-            self.until = now + first.min(length(spans.most));
+            self.until = now + first.min(length(spans.most)) * (1.0 - spans.spread * draw);
         }
     }
 }
--- a/src/placer/rules.rs
+++ b/src/placer/rules.rs
@@ -29,7 +29,7 @@
 const LAG_KEEP: f64 = 0.97;
 /// First bar of a machine that failed and the longest one, so that one that came back is found soon: in
 /// seconds and own tasks, the longer of the two. With few own tasks a short bar would end before the next.
-const BAR: BarSpans = BarSpans { first: (0.4, 2.0), most: (3.0, 15.0), gap_s: 2.5 };
+const BAR: BarSpans = BarSpans { first: (0.4, 2.0), most: (3.0, 15.0), gap_s: 2.5, spread: 0.25 };
 /// Count. Other machines at which an ask must have ended in errors before it counts as at fault itself.
 const ERRS_ELSEWHERE: usize = 3;
 /// Count. Own offers that may wait at one machine: it looks at them one by one and its line is short.
@@ -513,7 +513,7 @@
     }
 
     fn probed(&mut self, now: Seconds, id: MachineId, outcome: Outcome, report: Option<Report>) {
-        let gap = 1.0 / self.pace.rate(now);
+        let gap = (1.0 / self.pace.rate(now), mixed((self.salt, id)));
         let Some(machine) = self.machines.get_mut(&id) else { return };
         machine.probing = false;
         if outcome == Outcome::Ok {
@@ -526,7 +526,7 @@
 
     /// Books the end of an attempt.
     fn ended(&mut self, now: Seconds, end: &End) {
-        let gap = 1.0 / self.pace.rate(now);
+        let gap = (1.0 / self.pace.rate(now), mixed((self.salt, end.request)));
         let Some(request) = self.requests.get_mut(&end.request) else { return };
         let Some(tried) = request.attempts.get_mut(end.attempt).filter(|a| a.out) else { return };
         tried.out = false;
@@ -851,7 +851,7 @@
         let give_up_at = self.last_call(&task).min(now + patience);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(machine) = self.machines.get_mut(&at) else { return };
-        let gap = 1.0 / self.pace.rate(now);
+        let gap = (1.0 / self.pace.rate(now), mixed((self.salt, id)));
         let start = machine.start_work(task.service, now);
         request.attempts.push(Attempt::new(at, now, start));
         request.state = State::Trying;
@@ -903,7 +903,7 @@
 }
 
 /// What an ended attempt says of its machine's health and room.
-fn judge(machine: &mut Machine, now: Seconds, gap: Seconds, end: &End, task: &Task, bound: bool) {
+fn judge(machine: &mut Machine, now: Seconds, gap: (Seconds, f64), end: &End, task: &Task, bound: bool) {
     match (end.outcome, end.reason) {
         // Guards against machines that fail one class, answer probes but no offers (below), cannot start,
         // have a full line, or drain untold. May pass over one for a short bar after one odd refusal.
--- a/tests/many_placers.rs
+++ b/tests/many_placers.rs
@@ -115,3 +115,23 @@
     let mut rig = Rig::new(settings(Effect::Repeatable), &fleet(4));
     assert!(rig.feed(2.0, Event::Timer).iter().all(|a| !matches!(a, Action::SetTimer { .. })));
 }
+
+#[test]
+fn placers_that_lose_a_machine_at_once_do_not_look_for_it_in_step() {
+    let mut all = placers(60, &settings(Effect::Repeatable), &[entry(0, 9.0)]);
+    let mut looks: Vec<f64> = Vec::new();
+    for (n, rig) in (0u64..).zip(&mut all) {
+        assert_eq!(binds(&rig.submit(2.0, n, task(n, 7.0))), [0]);
+        rig.end(2.5, n, 0, Outcome::TimedOut, Reason::Unknown);
+        let probes = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Probe { .. }));
+        let mut times = (0..800).map(|step| 2.5 + f64::from(step) * 0.01);
+        looks.extend(times.find(|&at| probes(&rig.feed(at, Event::Timer))).map(|at| at - 2.5));
+    }
+    assert_eq!(looks.len(), 60, "each looks for it again");
+    let (least, most) =
+        (looks.iter().copied().fold(9.0, f64::min), looks.iter().copied().fold(0.0, f64::max));
+    let tenth =
+        looks.iter().map(|&from| looks.iter().filter(|&&t| t >= from && t < from + 0.1).count()).max();
+    assert!(most <= least * 4.0 / 3.0 + 0.05, "no bar is shortened by more than a fourth: {least} to {most}");
+    assert!(tenth < Some(30), "{tenth:?} of 60 in a tenth of a second");
+}
