--- a/lab/src/net/schedule.rs
+++ b/lab/src/net/schedule.rs
@@ -74,6 +74,11 @@
     },
     /// The load is even from now on.
     Even,
+    /// All planners read files with that whole for the jobs in flight, one after the other.
+    Whole {
+        /// Units.
+        units: u64,
+    },
 }
 
 /// One thing of a schedule.
@@ -128,7 +133,7 @@
         let mut at = 1_000;
         while at < calm {
             let planner = rng.gen_range(0..planners);
-            let what = match rng.gen_range(0..12) {
+            let what = match rng.gen_range(0..13) {
                 0 => What::Weather { loss: 0.3, double: 0.2, delay_ms: (0, 40) },
                 1 => What::Weather { loss: 0.05, double: 0.3, delay_ms: (0, 2_000) },
                 2 => What::Weather { loss: 0.0, double: 0.0, delay_ms: (0, 2) },
@@ -142,6 +147,14 @@
                 }
                 5 => What::Heal,
                 6 | 7 => What::Kill { planner, again_ms: Some(rng.gen_range(200..2_500)) },
+                12 => {
+                    // All at once.
+                    for planner in 1..planners {
+                        let again_ms = Some(rng.gen_range(100..600));
+                        schedule = schedule.at(at, What::Kill { planner, again_ms });
+                    }
+                    What::Kill { planner: 0, again_ms: Some(300) }
+                }
                 8 => What::Term { planner, again_ms: Some(rng.gen_range(200..1_500)) },
                 9 => What::Stop {
                     planner,
@@ -198,8 +211,10 @@
         "reset" => What::Reset { node: node()? },
         "lean" => What::Lean { planner: planner()?, share: share("share")? },
         "even" => What::Even,
+        "whole" => What::Whole { units: section.need("units").and_then(|i| i.count(1..=1_000_000))? },
         other => {
-            let known = ["weather", "part", "heal", "kill", "term", "stop", "slow", "reset", "lean", "even"];
+            let known =
+                ["weather", "part", "heal", "kill", "term", "stop", "slow", "reset", "lean", "even", "whole"];
             section.item().unknown(other, &known);
             return None;
         }
--- a/lab/src/planner.rs
+++ b/lab/src/planner.rs
@@ -172,6 +172,24 @@
         self.signal("HUP")
     }
 
+    /// What its REST front answers to a plain request.
+    ///
+    /// # Errors
+    /// If it has no such front, or cannot be reached.
+    pub fn get(&self, path: &str) -> io::Result<Value> {
+        let rest = self.rest.ok_or_else(|| io::Error::other("it has no REST front"))?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let answer = runtime.block_on(crate::load::call(
+            &crate::load::client(),
+            "GET",
+            rest,
+            path,
+            None,
+            &Value::Null,
+        ));
+        answer.map(|(_, body)| body).ok_or_else(|| io::Error::other("it does not answer"))
+    }
+
     /// Descriptors that it holds now.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, |all| all.count())
--- a/lab/src/rigs/budgets.rs
+++ b/lab/src/rigs/budgets.rs
@@ -10,6 +10,7 @@
 use crate::planner::{address, config, Planner, Program};
 use crate::Clock;
 use serde_json::json;
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::io;
@@ -23,6 +24,8 @@
 /// Seconds over which further tries are held against first ones, less than the ten that planners count over.
 const TRIES_S: (u64, u64) = (9, 12);
 
+/// So long all planners take to read their new files.
+const RELOADED: Duration = Duration::from_millis(500);
 /// Between two looks at a planner that stops.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -130,7 +133,7 @@
 }
 
 /// The operators' file of a planner.
-fn file(options: &Options, net: &Net, me: usize, listen: SocketAddr) -> String {
+fn file(options: &Options, net: &Net, in_flight: u64, me: usize, listen: SocketAddr) -> String {
     let n = options.planners;
     let shares = match options.way {
         Way::Fleet | Way::Each => 1.0,
@@ -143,7 +146,7 @@
          stateless: {{ inFlight: {}{scope} }}, keyed: {{ ratePerS: {}, burst: {}{scope} }} }} }}",
         options.retry.0,
         (options.retry.1 as f64 * shares).floor(),
-        whole(options.in_flight),
+        whole(in_flight),
         options.keyed.0 * shares,
         (options.keyed.1 * shares).max(1.0),
     );
@@ -178,14 +181,14 @@
         &mut self,
         program: &Program,
         options: &Options,
-        net: &Net,
+        (net, in_flight): (&Net, u64),
         nodes: &[SocketAddr],
         me: usize,
     ) -> io::Result<()> {
         let mut config = config(nodes, options.seed.wrapping_mul(1_000).wrapping_add(me as u64));
         config["settings"]["n_instances"] = json!(options.planners);
         config["listen"] = json!(self.owners.to_string());
-        let planner = Planner::start(program, &config, Some(&file(options, net, me, self.peers)))?;
+        let planner = Planner::start(program, &config, Some(&file(options, net, in_flight, me, self.peers)))?;
         net.target(me, self.peers);
         self.planner = Some(planner);
         Ok(())
@@ -221,7 +224,7 @@
     let seat = |_| Ok(Seat { planner: None, owners: address()?, peers: address()?, stopping: None });
     let mut seats = (0..options.planners).map(seat).collect::<io::Result<Vec<Seat>>>()?;
     for (me, seat) in seats.iter_mut().enumerate() {
-        seat.start(program, options, &net, &addresses, me)?;
+        seat.start(program, options, (&net, options.in_flight), &addresses, me)?;
     }
     let taps: Vec<Tap> = (0..options.planners).map(|_| Tap::default()).collect();
     let even = || taps.iter().for_each(|tap| tap.set(options.rate / options.planners as f64));
@@ -250,7 +253,9 @@
                 scope.spawn(move || pour(&shape, to, tap))
             })
             .collect();
-        let world = World { program, options, net: &net, nodes: &nodes, addresses: &addresses, taps: &taps };
+        let whole = Cell::new(options.in_flight);
+        let world =
+            World { program, options, net: &net, nodes: &nodes, addresses: &addresses, taps: &taps, whole };
         let played = world.play(&mut seats, began, &mut starts);
         let used: Vec<u64> =
             seats.iter().filter_map(|s| Some(s.planner.as_ref()?.used().cpu_ticks)).collect();
@@ -288,6 +293,8 @@
     nodes: &'a [Node],
     addresses: &'a [SocketAddr],
     taps: &'a [Tap],
+    /// Jobs in flight by the files in force.
+    whole: Cell<u64>,
 }
 
 impl World<'_> {
@@ -318,7 +325,8 @@
                             stopping.join().map_err(|_| io::Error::other("nobody waited for a stop"))??;
                         }
                         self.taps[at].hold(false);
-                        seats[at].start(self.program, self.options, self.net, self.addresses, at)?;
+                        let file = (self.net, self.whole.get());
+                        seats[at].start(self.program, self.options, file, self.addresses, at)?;
                     }
                     Later::Start(_) => {}
                     Later::Continue(at) => {
@@ -376,6 +384,14 @@
                     tap.set(self.options.rate * part);
                 }
             }
+            What::Whole { units } => {
+                self.whole.set(*units);
+                for (me, seat) in seats.iter().enumerate() {
+                    if let Some(planner) = &seat.planner {
+                        planner.reload(&file(self.options, self.net, *units, me, seat.peers))?;
+                    }
+                }
+            }
             What::Even => {
                 self.taps.iter().for_each(|tap| tap.set(self.options.rate / self.options.planners as f64));
             }
@@ -384,6 +400,22 @@
     }
 }
 
+/// The jobs in flight that are allowed from when to when: a file that raises them holds at once, one that lowers them once
+/// all that was held by the old ones has lapsed.
+fn wholes(options: &Options, began: Duration) -> Vec<(Duration, Duration, u64)> {
+    let lapse = Duration::from_millis(options.lease_ms + options.lease_ms / 50) + RELOADED;
+    let (mut all, mut from, mut allowed) = (Vec::new(), Duration::ZERO, options.in_flight);
+    for step in &options.schedule.0 {
+        let What::Whole { units } = step.what else { continue };
+        let at = began + Duration::from_millis(step.at_ms);
+        let at = if units < allowed { at + lapse } else { at };
+        all.push((from, at, allowed));
+        (from, allowed) = (at, units);
+    }
+    all.push((from, Duration::MAX, allowed));
+    all
+}
+
 /// The planner whose client made an ask.
 fn planner_of(job: u64) -> usize {
     ((job >> 32) as usize).saturating_sub(1)
@@ -411,9 +443,14 @@
             own.push((from, until));
         }
     }
-    let (most, when) = most_at_once(&flight);
-    if most as u64 > options.in_flight {
-        broken.push(format!("{most} jobs in flight at {when:?}; {} are allowed", options.in_flight));
+    let mut most = 0;
+    for (from, to, allowed) in wholes(options, began) {
+        let part = flight.iter().map(|&(a, b)| (a.max(from), b.min(to))).filter(|(a, b)| a < b).collect();
+        let (here, when) = most_at_once(&part);
+        most = most.max(here);
+        if here as u64 > allowed {
+            broken.push(format!("{here} jobs in flight at {when:?}; {allowed} are allowed"));
+        }
     }
     // Taken in for certain between what its client sent and the first offer.
     let sent: BTreeMap<u64, Duration> = logs.iter().map(|a| (a.id, clock.at(a.sent))).collect();
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -3,9 +3,10 @@
 
 use burlhook_lab::load::End;
 use burlhook_lab::net::{Schedule, What};
-use burlhook_lab::planner::Program;
+use burlhook_lab::planner::{address, config, Planner, Program};
 use burlhook_lab::rigs::budgets::{run, Options, Report, Way};
-use std::time::Duration;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
 
 fn play(options: Options) -> Report {
     run(&Program::at(env!("CARGO_BIN_EXE_burlhook")), &options).expect("the rig runs")
@@ -66,6 +67,67 @@
     );
 }
 
+/// Guards a whole that is lowered and raised under load: the lower one holds once all that the old files gave has lapsed, and
+/// all planners at once killed and back change nothing about it.
+#[test]
+fn a_lowered_whole_holds_under_load() {
+    let mut schedule =
+        Schedule::default().at(3_500, What::Whole { units: 4 }).at(9_500, What::Whole { units: 20 });
+    for planner in 0..5 {
+        schedule = schedule.at(7_000, What::Kill { planner, again_ms: Some(200 + 50 * planner as u64) });
+    }
+    let report = play(Options { span: Duration::from_secs(13), schedule, seed: 5, ..quick() });
+    assert_eq!(report.broken, Vec::<String>::new());
+    let mean = |from: usize, to: usize| {
+        report.flight[from..to].iter().map(|(all, _)| all).sum::<f64>() / (to - from) as f64
+    };
+    assert!(
+        mean(25, 35) > 10.0 && mean(115, 129) > 10.0,
+        "the whole is used: {}, {}",
+        mean(25, 35),
+        mean(115, 129)
+    );
+    assert!(mean(62, 69) <= 4.0, "{} of four", mean(62, 69));
+}
+
+/// Guards two fleets whose lists overlap by mistake: neither hears the other, and each counts what it dropped.
+#[test]
+fn a_word_of_another_fleet_counts_for_nothing() {
+    let places: Vec<String> = (0..2).map(|_| address().expect("a port").to_string()).collect();
+    let file = |fleet: &str, own: usize| {
+        format!(
+            "{{ rest: {{ listen: \"127.0.0.1:0\" }}, fleet: {{ name: \"{fleet}\", own: \"p{own}\", listen: \"{}\", \
+             voters: [\"p1\"], planners: [{{ name: \"p0\", address: \"{}\" }}, {{ name: \"p1\", address: \"{}\" }}] }}, \
+             limits: {{ default: {{ inFlight: 4, totalMs: 1000, scope: \"fleet\" }} }} }}",
+            places[own], places[0], places[1]
+        )
+    };
+    let program = Program::at(env!("CARGO_BIN_EXE_burlhook"));
+    let start =
+        |fleet, own| Planner::start(&program, &config(&[], 1), Some(&file(fleet, own))).expect("it starts");
+    let own = start("one", 0);
+    let limits = |planner: &Planner| planner.get("/v1/limits").expect("an answer")["fleet"].clone();
+    let wait = |planner: &Planner, is: &dyn Fn(&Value) -> bool| {
+        let until = Instant::now() + Duration::from_secs(8);
+        loop {
+            let seen = limits(planner);
+            if is(&seen) || Instant::now() > until {
+                return seen;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    };
+    let other = start("two", 1);
+    let seen = wait(&other, &|seen| seen["datagrams"]["otherFleet"].as_u64() > Some(3));
+    assert!(seen["datagrams"]["otherFleet"].as_u64() > Some(3), "{seen}");
+    assert_eq!(limits(&own)["slots"], json!([]), "the only voter is of another fleet");
+    drop(other);
+    let _right = start("one", 1);
+    let seen = wait(&own, &|seen| seen["slots"].as_array().is_some_and(|slots| !slots.is_empty()));
+    assert_eq!(seen["slots"][0]["slot"], json!(0), "{seen}");
+    assert_eq!(seen["budgets"][0]["usable"], json!(2), "its floor and its slot's part: {seen}");
+}
+
 /// Guards what a fleet is for, and the judge: a need at one planner alone is served by what the others spare, several times
 /// its equal part; and where each planner counts the whole for itself the judge sees both budgets broken.
 #[test]
