Model-check a planner that comes back against its caretaker, and count handovers in the twin

Need: the model let no caretaker give a slot back to its planner, so that a voter's shorter promise went unseen. Change: a third world of the model begins with a caretaker that holds the slot; burlhook-lab twin plays drawn faults over many seeds and times handovers.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,11 +1,13 @@
 //! The laboratory's command line.
 
+use burlhook::decide::fleet::Terms;
 use burlhook::document;
 use burlhook_lab::load::End;
 use burlhook_lab::net::Schedule;
 use burlhook_lab::node::{Node, Plan};
 use burlhook_lab::planner::Program;
 use burlhook_lab::rigs::{brownout, budgets, demo, fleet, groups, reload};
+use burlhook_lab::twin;
 use burlhook_lab::Clock;
 use clap::{Parser, Subcommand};
 use std::io;
@@ -172,6 +174,27 @@
         #[arg(long)]
         trace: bool,
     },
+    /// The simulated twin of a fleet: drawn faults over many seeds, or how long parts are idle when planners go and come.
+    Twin {
+        /// Planners; drawn by each seed if absent.
+        #[arg(long)]
+        planners: Option<usize>,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many.
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        /// Simulated seconds of each.
+        #[arg(long, default_value_t = 30)]
+        seconds: u64,
+        /// Milliseconds of a lease, for handovers.
+        #[arg(long, default_value_t = 3000)]
+        lease_ms: u64,
+        /// How long parts are idle, instead of drawn faults.
+        #[arg(long)]
+        handovers: bool,
+    },
     /// The planner itself, as the rigs start it.
     #[command(hide = true)]
     Planner {
@@ -216,6 +239,19 @@
     report.broken.iter().take(10).for_each(|b| println!("  {b}"));
 }
 
+fn print_handovers(planners: usize, lease_ms: u64, seeds: u64) {
+    let lease = lease_ms * 1_000;
+    let terms = Terms { lease, ask_every: (lease / 60).clamp(20_000, 500_000), ..twin::TERMS };
+    let all = twin::handovers(planners, terms, seeds);
+    let show = |name: &str, mut times: Vec<Option<u64>>| {
+        times.sort_unstable_by_key(|t| t.unwrap_or(u64::MAX));
+        let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+        println!("{name}: p50 {:?} p99 {:?} ms", at(0.5), at(0.99));
+    };
+    show("from a death to its part in use elsewhere", all.iter().map(|(used, _)| *used).collect());
+    show("from a start to a fair part", all.iter().map(|(_, back)| *back).collect());
+}
+
 fn program(path: Option<PathBuf>) -> io::Result<Program> {
     match path {
         Some(path) => Ok(Program::at(path)),
@@ -382,6 +418,23 @@
             print_budgets(&report, json, trace);
             Ok(report.broken.is_empty())
         }
+        Command::Twin { planners, seed, seeds, seconds, lease_ms, handovers } => {
+            if handovers {
+                print_handovers(planners.unwrap_or(8), lease_ms, seeds);
+                return Ok(true);
+            }
+            let mut well = true;
+            for seed in seed..seed + seeds {
+                let mut twin = twin::Twin::new(twin::rough(seed, planners, seconds));
+                twin.run(Duration::from_secs(seconds));
+                if let Some(broken) = &twin.broken {
+                    println!("seed {seed}: {broken}");
+                    well = false;
+                }
+            }
+            println!("{seeds} seeds of {seconds} s");
+            Ok(well)
+        }
         Command::Groups { planner, groups, seconds, load, naive, calm, seed } => {
             let (span, faults) = (Duration::from_secs(seconds), !calm);
             let options = groups::Options { groups, span, load, naive, faults, seed, ..Default::default() };
--- a/lab/src/twin.rs
+++ b/lab/src/twin.rs
@@ -460,3 +460,60 @@
         self.step(Due::Step(at));
     }
 }
+
+/// A fleet under drawn faults: its size, budgets, terms, needs and all that befalls it come from the seed.
+pub fn rough(seed: u64, planners: Option<usize>, seconds: u64) -> Options {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let planners = planners.unwrap_or_else(|| rng.gen_range(2..=9));
+    let whole = rng.gen_range(1..=5 * planners as u64);
+    let least = rng.gen_range(0..4);
+    let wants = |at: usize| [0, 3, 50, 1_000_000][(at + least) % 4];
+    let mut options = Options::calm(planners, whole, wants);
+    options.voters = [0, 1, 3, 5][rng.gen_range(0..4)].min(planners);
+    options.terms.floor_permille = [0, 300, 500, 1000][rng.gen_range(0..4)];
+    options.rate = (rng.gen_range(1..=20), 700_000);
+    options.schedule = Schedule::drawn(seed, planners, 1, Duration::from_secs(seconds));
+    options.turn_ms = 1_000;
+    options.seed = seed;
+    options
+}
+
+/// Milliseconds until something holds, looked at each 20 ms; none within so many seconds.
+fn until(twin: &mut Twin, most_s: u64, is: impl Fn(&Twin) -> bool) -> Option<u64> {
+    let step = Duration::from_millis(20);
+    (0..most_s * 50)
+        .find(|_| {
+            twin.run(step);
+            is(twin)
+        })
+        .map(|steps| (steps + 1) * 20)
+}
+
+/// How long a planner's part is idle once it is gone, and until one that comes back has its own, both in milliseconds by
+/// seed, in a fleet that wants more than there is.
+pub fn handovers(planners: usize, terms: Terms, seeds: u64) -> Vec<(Option<u64>, Option<u64>)> {
+    let each = |seed: u64| {
+        let whole = 50 * planners as u64;
+        let mut options = Options::calm(planners, whole, |_| 1_000);
+        (options.seed, options.terms) = (seed, terms);
+        let mut twin = Twin::new(options);
+        twin.run(Duration::from_micros(4 * terms.lease));
+        let gone = (seed % planners as u64) as usize;
+        let idle = 50 * terms.floor_permille / 1_000;
+        twin.befall(What::Kill { planner: gone, again_ms: None });
+        let full = (whole - idle) * 98 / 100;
+        let used = until(&mut twin, 60, |t| t.in_use() >= full);
+        twin.befall(What::Even);
+        twin.start(gone);
+        let back = until(&mut twin, 60, |t| t.in_use_by()[gone] >= 40);
+        (used, back)
+    };
+    (0..seeds).map(each).collect()
+}
+
+impl Twin {
+    /// Starts a planner that is gone.
+    pub fn start(&mut self, planner: usize) {
+        self.at(0, Due::Start(planner as Member));
+    }
+}
--- a/src/decide/fleet/model.rs
+++ b/src/decide/fleet/model.rs
@@ -46,8 +46,12 @@
         self.net.extend(claims.into_iter().map(|(to, claim)| (of as Member, to, Said::Claim(life, claim))));
     }
 
-    fn take(&mut self, (from, to, said): Letter) {
-        let (of, clock) = (usize::from(to), self.clock(usize::from(to)));
+    fn take(&mut self, letter: Letter) {
+        self.take_at(letter, self.clock(usize::from(letter.1)));
+    }
+
+    fn take_at(&mut self, (from, to, said): Letter, clock: Micros) {
+        let of = usize::from(to);
         match said {
             Said::Claim(life, claim) => {
                 let vote = self.planners[of].claimed(clock, (from, life), claim);
@@ -79,8 +83,8 @@
     crash: Vec<usize>,
     crashes: u8,
     gifts: u8,
-    /// All hold their slots at the start.
-    settled: bool,
+    /// Who holds slots at the start.
+    settled: Vec<usize>,
     net: usize,
 }
 
@@ -98,12 +102,14 @@
         let began = 1_000 - TERMS.lender_term() - TERMS.lease;
         let planners = (0..3).map(|me| self.planner(me, me as Life + 1, began)).collect();
         let mut state = State { now: 0, planners, net: BTreeSet::new(), crashes: 0, gifts: 0 };
-        for of in self.ticks.iter().copied().filter(|_| self.settled) {
-            let clock = state.clock(of);
-            let claims = state.planners[of].tick(clock);
-            state.post(of, claims);
-            while let Some(letter) = state.net.pop_first() {
-                state.take(letter);
+        // Their last claims are answered just before the beginning.
+        for early in (1..=3).rev().map(|round| 8 * round) {
+            for of in &self.settled {
+                let claims = state.planners[*of].tick(1_000 - early);
+                state.post(*of, claims);
+                while let Some(letter) = state.net.pop_first() {
+                    state.take_at(letter, 1_000 - early);
+                }
             }
         }
         vec![state]
@@ -196,7 +202,7 @@
         crash: vec![3 - caretaker()],
         crashes: 1,
         gifts: 0,
-        settled: true,
+        settled: vec![0, caretaker()],
         net: 3,
     };
     check(world, 11, 20_000);
@@ -205,5 +211,28 @@
 #[test]
 fn one_voter_gives_no_slot_twice_over_crashes_and_gifts() {
     let (crash, ticks) = (vec![0, 2], vec![0, caretaker()]);
-    check(World { voters: vec![2], ticks, crash, crashes: 1, gifts: 1, settled: true, net: 3 }, 12, 50_000);
+    check(
+        World { voters: vec![2], ticks, crash, crashes: 1, gifts: 1, settled: vec![0, caretaker()], net: 3 },
+        12,
+        50_000,
+    );
+}
+
+/// A caretaker holds the slot of a planner that comes back: it has it no more when that one has.
+#[test]
+fn a_planner_that_is_back_and_its_caretaker_never_hold_its_slot_together() {
+    let care = caretaker();
+    let world = World {
+        voters: vec![3 - care as Member],
+        ticks: vec![0, care],
+        crash: vec![],
+        crashes: 0,
+        gifts: 0,
+        settled: vec![care],
+        net: 3,
+    };
+    let first = &world.init_states()[0];
+    let slots: Vec<Member> = first.planners[care].ground().slots.iter().map(|(slot, _)| *slot).collect();
+    assert!(slots.contains(&0), "it holds the slot at the beginning: {slots:?}");
+    check(world, 10, 20_000);
 }
--- a/tests/twin.rs
+++ b/tests/twin.rs
@@ -1,36 +1,18 @@
 //! Budgets of the fleet in the simulated twin: the program's own books on one simulated clock, under drawn faults.
 
-use burlhook_lab::net::{Schedule, What};
-use burlhook_lab::twin::{Options, Twin, TERMS};
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
+use burlhook_lab::net::What;
+use burlhook_lab::twin::{rough, Options, Twin, TERMS};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
 
-fn rough(seed: u64, seconds: u64) -> Options {
-    let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let planners = rng.gen_range(2..=9);
-    let whole = rng.gen_range(1..=40);
-    let least = rng.gen_range(0..4);
-    let wants = |at: usize| [0, 3, 50, 1_000_000][(at + least) % 4];
-    let mut options = Options::calm(planners, whole, wants);
-    options.voters = [0, 1, 3, 5][rng.gen_range(0..4)].min(planners);
-    options.terms.floor_permille = [0, 300, 500, 1000][rng.gen_range(0..4)];
-    options.rate = (rng.gen_range(1..=20), 700_000);
-    options.schedule = Schedule::drawn(seed, planners, 1, SECOND * seconds as u32);
-    options.turn_ms = 1_000;
-    options.seed = seed;
-    options
-}
-
 /// Guards the whole, whatever befalls: planners killed, told to stop, stopped for up to 10 s, parted, also one way only,
 /// words lost, doubled, late by up to 2 s and out of order, on clocks that run apart by as much as the terms allow.
 #[test]
 fn no_fault_brings_more_into_use_than_the_whole() {
     let mut worst = 0;
     for seed in 0..60 {
-        let mut twin = Twin::new(rough(seed, 25));
+        let mut twin = Twin::new(rough(seed, None, 25));
         twin.run(SECOND * 25);
         assert_eq!(twin.broken, None, "seed {seed}");
         worst = worst.max(twin.worst);
@@ -42,7 +24,7 @@
 #[test]
 fn everyone_has_a_share_once_faults_are_over() {
     for seed in 0..20 {
-        let mut options = rough(seed, 15);
+        let mut options = rough(seed, None, 15);
         options.whole = options.whole.max(2 * options.planners as u64);
         options.turn_ms = 0;
         let planners = options.planners;
