Test writes after a pause, votes given back, and a refused change of the fleet's section

Need: three safeguards had no test that failed without them: the look at the clock before a write, votes for claims that were given back, and the reload that names another fleet. Change: tests for each, on injected clocks but for the write; model checks run on one thread, so that they give the same states each time.

--- a/src/decide/fleet/mod.rs
+++ b/src/decide/fleet/mod.rs
@@ -353,3 +353,5 @@
 
 #[cfg(test)]
 mod model;
+#[cfg(test)]
+mod tests;
--- a/src/decide/fleet/model.rs
+++ b/src/decide/fleet/model.rs
@@ -182,7 +182,7 @@
 }
 
 fn check(world: World, depth: usize, least: usize) {
-    let checker = world.checker().threads(4).target_max_depth(depth).spawn_bfs().join();
+    let checker = world.checker().threads(1).target_max_depth(depth).spawn_bfs().join();
     println!("{} states", checker.unique_state_count());
     checker.assert_properties();
     assert!(checker.unique_state_count() > least, "{} states", checker.unique_state_count());
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -614,33 +614,39 @@
         }
     }
 
+    /// A hub with a machine and a job that is queued for it; the job's owner waits so long.
+    fn offered(effect: &str, patience_s: Seconds) -> (Arc<Hub>, MachineId, u64) {
+        let (hub, _wanted) =
+            Hub::new(core(effect), Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: 9 });
+        let name = hub.lock().core.words().machine("b");
+        let entry = Entry {
+            machine: name,
+            key: MachineKey(1),
+            zone: ZoneId(0),
+            cell: CellId(0),
+            kind: Some(0),
+            standing: Standing::Ready,
+            free: Room { cores: 9.0, memory: 18.0 },
+            started: 0.0,
+        };
+        let notice = Notice { entry, address: "a:1".into() };
+        hub.apply(Input::List { kind: ListKind::Changes, notices: vec![notice] });
+        let owner = open(&mut hub.lock(), 100.0).expect("a place");
+        let room = Room { cores: 1.0, memory: 1.0 };
+        let (class, service, deadline) = (0, ServiceId(1), hub.now() + patience_s);
+        let limits = TaskLimits::default();
+        let task = Task { class, tenant: None, service, room, deadline, life_s: None, limits };
+        let spec = Arc::new(Spec { class: "c".into(), body: "x".into(), ..Spec::default() });
+        hub.apply(Input::Submit(Ask { job: RequestId(1), owner: Owner::Link(owner), spec, task }));
+        (hub, name, owner)
+    }
+
     /// Guards rule 2: a set-up that left, whole or in part, before its connection broke in the same go may have run;
     /// work that runs once is failed then, and not sent again.
     #[test]
     fn what_left_before_an_error_may_have_run() {
         for taken in [0, 10, 1 << 20] {
-            let (hub, _wanted) =
-                Hub::new(core("once"), Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: 9 });
-            let name = hub.lock().core.words().machine("b");
-            let entry = Entry {
-                machine: name,
-                key: MachineKey(1),
-                zone: ZoneId(0),
-                cell: CellId(0),
-                kind: Some(0),
-                standing: Standing::Ready,
-                free: Room { cores: 9.0, memory: 18.0 },
-                started: 0.0,
-            };
-            let notice = Notice { entry, address: "a:1".into() };
-            hub.apply(Input::List { kind: ListKind::Changes, notices: vec![notice] });
-            let owner = open(&mut hub.lock(), 100.0).expect("a place");
-            let room = Room { cores: 1.0, memory: 1.0 };
-            let (class, service, deadline) = (0, ServiceId(1), hub.now() + 5.0);
-            let limits = TaskLimits::default();
-            let task = Task { class, tenant: None, service, room, deadline, life_s: None, limits };
-            let spec = Arc::new(Spec { class: "c".into(), body: "x".into(), ..Spec::default() });
-            hub.apply(Input::Submit(Ask { job: RequestId(1), owner: Owner::Link(owner), spec, task }));
+            let (hub, name, owner) = offered("once", 5.0);
             let life = hub.lock().nodes[&name].life;
             let broke = hub.write_out((name, life, "a:1"), &Breaks(taken.into()), &mut Vec::new());
             // What is written whole brings no error until more is written.
@@ -653,6 +659,20 @@
         }
     }
 
+    /// Guards machines and shares of the fleet against a planner that was stopped between deciding and writing: what is
+    /// past its time by then does not leave, though no alarm has rung yet.
+    #[test]
+    fn what_is_past_its_time_is_not_written() {
+        let (hub, name, owner) = offered("repeatable", 0.1);
+        let life = hub.lock().nodes[&name].life;
+        assert!(!hub.lock().nodes[&name].outbox.is_empty(), "it is queued");
+        std::thread::sleep(Duration::from_millis(150));
+        let takes_nothing = Breaks(0.into());
+        let waits = hub.write_out((name, life, "a:1"), &takes_nothing, &mut Vec::new());
+        assert_eq!(waits.expect("nothing is written"), Some(false));
+        assert!(!hub.lock().owners[&owner].outbox.is_empty(), "its owner is answered");
+    }
+
     /// Guards ends of what stood against a connection that ends before they are written on it: they go to another of
     /// the same owner, or to the next one that is opened.
     #[test]
--- a/tests/budgets.rs
+++ b/tests/budgets.rs
@@ -126,6 +126,15 @@
     let seen = wait(&own, &|seen| seen["slots"].as_array().is_some_and(|slots| !slots.is_empty()));
     assert_eq!(seen["slots"][0]["slot"], json!(0), "{seen}");
     assert_eq!(seen["budgets"][0]["usable"], json!(2), "its floor and its slot's part: {seen}");
+    // The section changes with a restart alone: a file with another fleet is refused, and what is in force stays.
+    own.reload(&file("three", 0)).expect("a signal");
+    let refused = || own.get("/v1/limits").expect("an answer")["lastRefusal"]["faults"][0].clone();
+    let until = Instant::now() + Duration::from_secs(5);
+    while refused().is_null() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(refused(), json!("the section \"fleet\" changes with a restart alone"));
+    assert!(!limits(&own)["slots"].as_array().expect("slots").is_empty(), "its slot stays");
 }
 
 /// Guards what a fleet is for, and the judge: a need at one planner alone is served by what the others spare, several times
