--- a/src/decide/fleet/tests.rs
+++ b/src/decide/fleet/tests.rs
@@ -32,6 +32,10 @@
         own.voted(now + SECOND / 2, 1, vote);
     }
     assert_eq!(held(&own), Some(now + TERMS.borrower_term()), "counted from the claim");
+    for vote in votes(&mut fleet(2, 9, 0), now, (0, 7), &claims) {
+        own.voted(now + SECOND, 2, vote);
+    }
+    assert_eq!(held(&own), Some(now + TERMS.borrower_term()), "and not from the votes");
 }
 
 /// Guards a slot that was given back: no vote for a claim from before counts again, and a claim that comes late is not
