Test that a vote from before a giving counts for no later claim

Cause: with that safeguard taken away (any vote counts for the last claim) nothing failed. Change: the test claims anew after the giving and lets the old vote come then. Measured: it fails without the safeguard, passes with it.

--- a/src/decide/fleet/tests.rs
+++ b/src/decide/fleet/tests.rs
@@ -54,6 +54,9 @@
         votes(&mut other, now + 3, (0, 7), &claims).is_empty(),
         "the doubled claim is older than the giving"
     );
+    own.tick(now + SECOND);
+    late.iter().for_each(|vote| _ = own.voted(now + SECOND, 1, *vote));
+    assert_eq!(held(&own), None, "a vote from before the giving counts for no later claim");
 }
 
 /// Guards what stands on slots while planners stop as they should: nothing is claimed any more, and others need not wait
