Test that a loan in use is kept beside one that lapses sooner

Cause: the one safeguard that no test showed. Change: a unit test with two loans, a use that outlasts the sooner one. Measured: without the bound one of two units in use is given back and the test fails; with it both are kept.

--- a/src/decide/budgets/tests.rs
+++ b/src/decide/budgets/tests.rs
@@ -36,6 +36,29 @@
     assert!(matches!(back[..], [(0, Ask { wants: 0, holds: 0, .. })]), "{back:?}");
 }
 
+/// Guards uses in flight against giving back the loan that outlasts them, where another that lapses sooner would cover as
+/// many now.
+#[test]
+fn a_loan_in_use_is_kept_beside_one_that_lapses_sooner() {
+    // Its own floor is not to be had yet: what it uses is borrowed.
+    let ground = Ground { quiet_until: Micros::MAX, slots: vec![] };
+    let mut share = Share::new((2, 3), 3, (9, 0), (TERMS, 1000), 0);
+    let now = 10 * TERMS.lease;
+    let grant = |units, span| Grant { life: 3, number: 1, units, span, whole: 9, hold: 0 };
+    share.set_need(3, 0, 0);
+    assert_eq!(share.tick(&ground, now)[0].0, 1);
+    share.granted(now, 1, grant(1, 900 * MS));
+    let later = now + 2 * TERMS.ask_every;
+    assert!(share.tick(&ground, later).iter().any(|(to, ask)| *to == 0 && ask.wants == 2));
+    share.granted(later, 0, grant(2, TERMS.lease));
+    let look = later + 600 * MS;
+    share.set_need(0, 2, look + 500 * MS);
+    assert_eq!(share.usable(&ground, look), 3);
+    let asks = share.tick(&ground, look);
+    let wants = |of: Member| asks.iter().find(|(to, _)| *to == of).map(|(_, ask)| ask.wants);
+    assert_eq!((wants(0), wants(1)), (Some(2), Some(0)), "{asks:?}");
+}
+
 /// Guards a lender's own uses: what it uses it does not lend, also where it needs nothing more.
 #[test]
 fn what_is_in_use_is_not_lent() {
