--- a/src/decide/budgets/books.rs
+++ b/src/decide/budgets/books.rs
@@ -1,7 +1,7 @@
 //! All budgets of a planner: what uses them here, how much each is in need, and the words that concern them.
 
 use super::share::{base, floor, Ask, Grant, Share};
-use crate::decide::fleet::{mixed, Claim, Fleet, Ground, Life, Member, Micros, Terms, Vote};
+use crate::decide::fleet::{mixed, Claim, Fleet, Life, Member, Micros, Terms, Vote};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -197,7 +197,8 @@
         let (fleet, terms) = (&self.fleet, self.fleet.terms());
         for (id, wanted) in all {
             let floor = if wanted.kind == Kind::RetryFloor { 1000 } else { fleet.floor_permille() };
-            let mut share = Share::new(fleet.place(), fleet.life(), (wanted.whole, id), (terms, floor), now);
+            let mut share =
+                Share::new(fleet.place(), fleet.life(), (wanted.whole, id), (terms, floor), self.started);
             share.set_whole(wanted.whole, wanted.hold);
             // As long as a use may last, where the file does not say.
             let mean = if wanted.hold > 0 { wanted.hold as f64 } else { terms.lease as f64 / 4.0 };
@@ -217,17 +218,6 @@
         }
     }
 
-    /// What a budget may count on: its floor waits for an earlier life's uses as well as for its loans.
-    fn ground<'a>(fleet: &'a Fleet, started: Micros, hold: Micros, own: &'a mut Ground) -> &'a Ground {
-        let quiet_until = started + fleet.terms().given_for(hold);
-        if quiet_until <= fleet.ground().quiet_until {
-            return fleet.ground();
-        }
-        own.clone_from(fleet.ground());
-        own.quiet_until = quiet_until;
-        own
-    }
-
     /// Takes one unit for at most so long, or tells in how many microseconds to come back.
     ///
     /// # Errors
@@ -239,8 +229,7 @@
         let hold = book.share.hold(now);
         // Over by any clock, so that a rate is kept by true time, too.
         let lasting = if hold > 0 { self.fleet.terms().given_for(hold) } else { lasting };
-        let mut own = Ground::default();
-        let ground = Books::ground(&self.fleet, self.started, hold, &mut own);
+        let ground = self.fleet.ground();
         if !book.share.admits(ground, now, lasting) {
             book.turned += 1;
             let usable = book.share.usable(ground, now).max(1);
@@ -292,12 +281,11 @@
         out: &mut Vec<(Member, Word)>,
     ) {
         self.fleet.note(now, from, life);
-        let claims = |words: Vec<(Member, Claim)>| words.into_iter().map(|(to, c)| (to, Word::Claim(c)));
         match word {
             Word::Claim(claim) => {
                 out.extend(self.fleet.claimed(now, (from, life), claim).map(|vote| (from, Word::Vote(vote))));
             }
-            Word::Vote(vote) => out.extend(claims(self.fleet.voted(now, from, vote))),
+            Word::Vote(vote) => out.extend(words(self.fleet.voted(now, from, vote))),
             Word::Ask(id, ask) => {
                 let leaving = self.fleet.is_leaving();
                 let Some(book) = self.books.get_mut(&id) else { return };
@@ -307,8 +295,7 @@
                 }
                 book.sweep(now);
                 book.tell();
-                let mut own = Ground::default();
-                let ground = Books::ground(&self.fleet, self.started, book.share.hold(now), &mut own);
+                let ground = self.fleet.ground();
                 let grant = book.share.asked(ground, now, from, ask);
                 out.extend(grant.map(|grant| (from, Word::Grant(id, grant))));
             }
@@ -323,10 +310,11 @@
     /// What is due by now; to be called each [`Terms::ask_every`] or so.
     pub fn tick(&mut self, now: Micros, out: &mut Vec<(Member, Word)>) {
         let claims = self.fleet.tick(now);
-        out.extend(claims.into_iter().map(|(to, claim)| (to, Word::Claim(claim))));
-        let (terms, lend_s) = (self.fleet.terms(), self.fleet.terms().lender_term());
+        out.extend(words(claims));
+        let terms = self.fleet.terms();
+        let lapse = terms.lender_term();
         self.books.retain(|_, book| {
-            book.gone_at.is_none_or(|at| now < at + lend_s + terms.given_for(book.wanted.hold))
+            book.gone_at.is_none_or(|at| now < at + lapse + terms.given_for(book.wanted.hold))
         });
         for (&id, book) in &mut self.books {
             book.sweep(now);
@@ -342,8 +330,7 @@
                 self.lines.push(format!("budget {place}.{kind}: another planner's file says {whole}, this one's {own}; the lower holds"));
             }
             if book.wanted.kind != Kind::RetryFloor {
-                let mut own = Ground::default();
-                let ground = Books::ground(&self.fleet, self.started, book.share.hold(now), &mut own);
+                let ground = self.fleet.ground();
                 let asks = book.share.tick(ground, now);
                 out.extend(asks.into_iter().map(|(to, ask)| (to, Word::Ask(id, ask))));
             }
@@ -352,7 +339,7 @@
             let ground = self.fleet.ground();
             if self.books.values().all(|book| book.share.spares(ground, now, slot)) {
                 let claims = self.fleet.give_back(now, slot);
-                out.extend(claims.into_iter().map(|(to, claim)| (to, Word::Claim(claim))));
+                out.extend(words(claims));
             }
         }
     }
@@ -373,8 +360,7 @@
         if book.wanted.kind == Kind::RetryFloor {
             return self.floor(now, id);
         }
-        let mut own = Ground::default();
-        let ground = Books::ground(&self.fleet, self.started, book.share.hold(now), &mut own);
+        let ground = self.fleet.ground();
         book.share.usable(ground, now)
     }
 
@@ -391,3 +377,7 @@
         self.books.iter().filter(|(_, book)| book.gone_at.is_none()).map(state).collect()
     }
 }
+
+fn words(claims: Vec<(Member, Claim)>) -> impl Iterator<Item = (Member, Word)> {
+    claims.into_iter().map(|(to, claim)| (to, Word::Claim(claim)))
+}
--- a/src/decide/budgets/share.rs
+++ b/src/decide/budgets/share.rs
@@ -121,6 +121,7 @@
     pub(super) held: BTreeMap<Member, Held>,
     /// Others who asked for more than they got, and when.
     wanting: BTreeMap<Member, Micros>,
+    started: Micros,
     ask_at: Micros,
     /// The time between asks for more now.
     pause: Micros,
@@ -143,13 +144,13 @@
 }
 
 impl Share {
-    /// The part of the planner `me` of so many, in a life that begins now, in a budget of `whole` units.
+    /// The part of the planner `me` of so many, in a life that began then, in a budget of `whole` units.
     pub fn new(
         (me, members): (Member, Member),
         life: Life,
         (whole, salt): (u64, u64),
         (terms, floor_permille): (Terms, u64),
-        now: Micros,
+        started: Micros,
     ) -> Share {
         debug_assert!(me < members);
         Share {
@@ -169,7 +170,8 @@
             lent: BTreeMap::new(),
             held: BTreeMap::new(),
             wanting: BTreeMap::new(),
-            ask_at: now,
+            started,
+            ask_at: started,
             pause: terms.ask_every,
             turn: (life % u64::from(members)) as Member,
         }
@@ -207,9 +209,14 @@
         (floor, base - floor)
     }
 
+    /// Until then the floor may be in use or lent by an earlier life: its loans, and its uses where all last alike.
+    fn quiet_until(&self, ground: &Ground, now: Micros) -> Micros {
+        ground.quiet_until.max(self.started + self.terms.given_for(self.hold(now)))
+    }
+
     /// Units of floor and slots that are there from now until then.
     fn ground(&self, ground: &Ground, now: Micros, until: Micros) -> u64 {
-        let floor = if now < ground.quiet_until { 0 } else { self.parts(now, self.me).0 };
+        let floor = if now < self.quiet_until(ground, now) { 0 } else { self.parts(now, self.me).0 };
         let lasting = ground.slots.iter().filter(|(_, end)| until < *end);
         floor + lasting.map(|(slot, _)| self.parts(now, *slot).1).sum::<u64>()
     }
@@ -240,7 +247,8 @@
 
     /// When more may be had, for those who are turned away: the next ask, or the end of the quiet time.
     pub fn back_in(&self, ground: &Ground, now: Micros) -> Micros {
-        let quiet = if ground.slots.is_empty() { ground.quiet_until.saturating_sub(now) } else { 0 };
+        let quiet =
+            if ground.slots.is_empty() { self.quiet_until(ground, now).saturating_sub(now) } else { 0 };
         quiet.max(self.ask_at.saturating_sub(now)).max(self.terms.ask_every)
     }
 
--- a/src/decide/limits/gauges.rs
+++ b/src/decide/limits/gauges.rs
@@ -103,8 +103,7 @@
             self.count += 1;
             return Ok(());
         }
-        let step = self.hold_s / f64::from(most.max(1));
-        Err(self.line.next(now, now + step, step))
+        Err(self.away(now, self.hold_s / f64::from(most.max(1))))
     }
 
     /// In how many seconds to come back, where places come free each `step` or so.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -8,6 +8,7 @@
 use super::trail;
 use crate::decide::budgets::Word;
 use crate::decide::fleet::Member;
+use crate::decide::limits::micros;
 use crate::decide::links::{Need, Places};
 use crate::placer::*;
 use crate::state::{Core, Effect, Input, Owner, Refusal};
@@ -53,10 +54,6 @@
     Duration::try_from_secs_f64(span.max(0.0)).unwrap_or(Duration::MAX)
 }
 
-fn micros(at: Seconds) -> u64 {
-    (at.max(0.0) * 1e6) as u64
-}
-
 /// The Unix clock, made steady: it starts from the system's and never goes back.
 pub struct Clock {
     unix: Seconds,
