Move inline test modules into files of their own

Need: tests live in test files. Change: fifteen blocks of src and lab/src stand in tests.rs beside or below what they test, unchanged but for their indentation.

--- /dev/null
+++ b/src/wire/hub/tests.rs
@@ -0,0 +1,152 @@
+use super::*;
+use crate::state::tests::core;
+use crate::state::{Ask, Notice, Spec};
+
+fn hub(owners: usize) -> Arc<Hub> {
+    Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64, links: 9 }).0
+}
+
+fn open(inner: &mut Inner, now: Seconds) -> Option<u64> {
+    inner.open_owner(now, IpAddr::from([127, 0, 0, 1])).map(|(id, _)| id)
+}
+
+/// Takes some bytes, then is reset.
+struct Breaks(std::cell::Cell<usize>);
+
+impl Sink for Breaks {
+    fn try_write_vectored(&self, slices: &[io::IoSlice<'_>]) -> io::Result<usize> {
+        let all: usize = slices.iter().map(|s| s.len()).sum();
+        match self.0.replace(0).min(all) {
+            0 => Err(io::ErrorKind::ConnectionReset.into()),
+            taken => Ok(taken),
+        }
+    }
+}
+
+/// A hub with a machine and a job that is queued for it; the job's owner waits so long.
+fn offered(effect: &str, patience_s: Seconds) -> (Arc<Hub>, MachineId, u64) {
+    let (hub, _wanted) =
+        Hub::new(core(effect), Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: 9 });
+    let name = hub.lock().core.words().machine("b");
+    let entry = Entry {
+        machine: name,
+        key: MachineKey(1),
+        zone: ZoneId(0),
+        cell: CellId(0),
+        kind: Some(0),
+        standing: Standing::Ready,
+        free: Room { cores: 9.0, memory: 18.0 },
+        started: 0.0,
+    };
+    let notice = Notice { entry, address: "a:1".into() };
+    hub.apply(Input::List { kind: ListKind::Changes, notices: vec![notice] });
+    let owner = open(&mut hub.lock(), 100.0).expect("a place");
+    let room = Room { cores: 1.0, memory: 1.0 };
+    let (class, service, deadline) = (0, ServiceId(1), hub.now() + patience_s);
+    let limits = TaskLimits::default();
+    let task = Task { class, tenant: None, service, room, deadline, life_s: None, limits };
+    let spec = Arc::new(Spec { class: "c".into(), body: "x".into(), ..Spec::default() });
+    hub.apply(Input::Submit(Ask { job: RequestId(1), owner: Owner::Link(owner), spec, task }));
+    (hub, name, owner)
+}
+
+/// Guards rule 2: a set-up that left, whole or in part, before its connection broke in the same go may have run;
+/// work that runs once is failed then, and not sent again.
+#[test]
+fn what_left_before_an_error_may_have_run() {
+    for taken in [0, 10, 1 << 20] {
+        let (hub, name, owner) = offered("once", 5.0);
+        let life = hub.lock().nodes[&name].life;
+        let broke = hub.write_out((name, life, "a:1"), &Breaks(taken.into()), &mut Vec::new());
+        // What is written whole brings no error until more is written.
+        assert_eq!(broke.is_err(), taken < 1 << 20);
+        hub.lock().nodes.get_mut(&name).expect("a link").outbox.reset();
+        hub.apply(Input::LinkBroken { machine: name });
+        let waits = !hub.lock().nodes[&name].outbox.is_empty();
+        let answered = !hub.lock().owners[&owner].outbox.is_empty();
+        assert_eq!((waits, answered), (taken == 0, taken > 0), "{taken} bytes left");
+    }
+}
+
+/// Guards machines and shares of the fleet against a planner that was stopped between deciding and writing: what is
+/// past its time by then does not leave, though no alarm has rung yet.
+#[test]
+fn what_is_past_its_time_is_not_written() {
+    let (hub, name, owner) = offered("repeatable", 0.1);
+    let life = hub.lock().nodes[&name].life;
+    assert!(!hub.lock().nodes[&name].outbox.is_empty(), "it is queued");
+    std::thread::sleep(Duration::from_millis(150));
+    let takes_nothing = Breaks(0.into());
+    let waits = hub.write_out((name, life, "a:1"), &takes_nothing, &mut Vec::new());
+    assert_eq!(waits.expect("nothing is written"), Some(false));
+    assert!(!hub.lock().owners[&owner].outbox.is_empty(), "its owner is answered");
+}
+
+/// Guards ends of what stood against a connection that ends before they are written on it: they go to another of
+/// the same owner, or to the next one that is opened.
+#[test]
+fn an_end_that_was_not_written_goes_elsewhere() {
+    for other in [true, false] {
+        let hub = hub(9);
+        let mut inner = hub.lock();
+        let first = open(&mut inner, 100.0).expect("a place");
+        inner.say(100.0, first, vec![1]);
+        inner.write_owner(100.0, Owner::Link(first), vec![2], true);
+        let second = other.then(|| open(&mut inner, 100.0).expect("a place"));
+        inner.close_owner(100.1, first);
+        let second = second.or_else(|| open(&mut inner, 100.2)).expect("a place");
+        assert_eq!(inner.owners.get_mut(&second).expect("a link").outbox.take_due(), [vec![2]]);
+    }
+}
+
+/// Guards a request that has come but was not read yet: its connection, though nothing is open on it, is neither
+/// closed as useless nor given away.
+#[tokio::test]
+async fn what_came_unread_keeps_its_connection() {
+    let hub = hub(1);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut client = std::net::TcpStream::connect(listener.local_addr().expect("its address")).expect("up");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let stream = Arc::new(stream);
+    let mut inner = hub.lock();
+    let first = open(&mut inner, 100.0).expect("a place");
+    inner.owners.get_mut(&first).expect("a link").stream = Some(stream.clone());
+    assert!(!is_unread(&stream));
+    io::Write::write_all(&mut client, &[0]).expect("written");
+    while !is_unread(&stream) {
+        std::thread::yield_now();
+    }
+    assert_eq!(open(&mut inner, 100.1), None);
+    assert!(inner.owners.contains_key(&first));
+}
+
+/// Guards descriptors against owners that stay for good: silent, idle, or without reading what they are sent.
+#[test]
+fn a_connection_of_no_use_is_told_apart() {
+    let hub = hub(9);
+    let mut inner = hub.lock();
+    let ids: Vec<u64> = (0..3).filter_map(|_| open(&mut inner, 100.0)).collect();
+    let [silent, idle, unread] = ids[..] else { panic!("three places") };
+    inner.say(100.0, idle, vec![]);
+    inner.owners.get_mut(&idle).expect("a link").outbox.reset();
+    inner.say(100.0, unread, vec![0]);
+    let useless = |now| [silent, idle, unread].map(|id| inner.useless(now, id).is_some());
+    assert_eq!(useless(101.9), [false, false, false]);
+    assert_eq!(useless(102.1), [true, false, false]);
+    assert_eq!(useless(105.1), [true, false, true]);
+    assert_eq!(useless(108.1), [true, true, true]);
+}
+
+/// Guards owners with something open: where every place is taken, theirs is not given away.
+#[test]
+fn only_what_is_of_no_use_makes_room() {
+    let hub = hub(2);
+    let mut inner = hub.lock();
+    let first = open(&mut inner, 100.0).expect("a place");
+    inner.say(100.0, first, vec![0]);
+    let second = open(&mut inner, 100.0).expect("a place");
+    assert!(open(&mut inner, 100.0).is_some(), "the silent one makes room");
+    assert!(inner.owners.contains_key(&first) && !inner.owners.contains_key(&second));
+    inner.owners.values_mut().for_each(|link| link.push(vec![0], 100.0));
+    assert_eq!(open(&mut inner, 100.0), None);
+}
