Hear all that has come before an attempt leaves, and before a connection or the planner ends

Ruled out: the order of tasks within one look of the runtime (a close that is read in the same go does take its set-ups back); the trail shows the write before the end was read.

--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! What is spoken: two fronts, the links to the machines, and the hub that joins them to the core.
 
+pub mod gate;
 pub mod hub;
 pub mod import;
 pub mod outbox;
@@ -7,3 +8,4 @@
 pub mod platform;
 pub mod rest;
 mod trail;
+pub mod unread;
--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -88,8 +88,15 @@
     pub fn start_with(config: Value, rest: Option<&str>) -> Planner {
         let path = unused_path("config.json");
         std::fs::write(&path, config.to_string()).expect("a configuration");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_burlhook"));
-        command.args(["serve", "--config"]).arg(&path).stderr(Stdio::piped());
+        // The descriptors that the configuration grants are all that the system grants.
+        let mut command = Command::new("/bin/sh");
+        let most = config["limits"]["sockets"].as_u64().map_or("unlimited".into(), |most| most.to_string());
+        command.args(["-c", "[ $1 = unlimited ] || ulimit -n $1; shift; exec \"$@\"", "sh", &most]);
+        command
+            .arg(env!("CARGO_BIN_EXE_burlhook"))
+            .args(["serve", "--config"])
+            .arg(&path)
+            .stderr(Stdio::piped());
         let operators = rest.map(|rest| {
             let file = unused_path("operators.json5");
             std::fs::write(&file, operators_file(rest)).expect("an operators' file");
@@ -133,6 +140,19 @@
         self.signal("-HUP");
     }
 
+    /// Stops the process where it is, has things happen meanwhile, and lets it go on: it finds all of them at once.
+    pub fn paused<T>(&self, meanwhile: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let is_stopped = || std::fs::read_to_string(&stat).expect("its state").contains(") T ");
+        while !is_stopped() {
+            std::thread::yield_now();
+        }
+        let out = meanwhile();
+        self.signal("-CONT");
+        out
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -48,6 +48,13 @@
     read(send(to, head, key, body))
 }
 
+/// Which operators' file is in force.
+fn generation(rest: SocketAddr) -> u64 {
+    let (status, limits) = call(rest, "GET /v1/limits", None, &Value::Null);
+    assert_eq!(status, 200);
+    limits["generation"].as_u64().expect("a number")
+}
+
 fn group(members: usize, cores: f64) -> Value {
     let member = |at: usize| {
         json!({"class": if at.is_multiple_of(2) { "stateless" } else { "keyed" }, "service": "match", "cores": cores,
@@ -218,11 +225,14 @@
     nodes.iter().for_each(|node| node.act(Act::Hang));
     let waits = send(rest, "POST /v1/groups", Some("kept"), &group(6, 1.0));
     until_sent(&nodes, 6);
+    let before = generation(rest);
     planner.reload("{rest: {listen: '127.0.0.1:0'}}").expect("a reload");
     let started = std::time::Instant::now();
-    while call(rest, "POST /v1/groups", Some("new"), &group(1, 1.0)).0 != 404 {
+    // A group that were posted to see it would wait on the nodes that hang, for as long as the first may.
+    while generation(rest) == before {
         assert!(started.elapsed() < Duration::from_secs(10), "never turned off");
     }
+    assert_eq!(call(rest, "POST /v1/groups", Some("new"), &group(1, 1.0)).0, 404);
     nodes.iter().for_each(|node| node.act(Act::Wake));
     assert_eq!(read(waits).0, 201);
 }
--- /dev/null
+++ b/tests/races.rs
@@ -0,0 +1,408 @@
+//! Crossings on real sockets, each forced: a planner that is stopped finds all that happened meanwhile at once, and peers
+//! wait for each other at known points. `docs/design/races.md` is the table that these tests stand in.
+
+mod exchange;
+
+use exchange::{instance, settings, unescape, Planner, Wire};
+use serde_json::{json, Value};
+use socket2::SockRef;
+use std::io::Read;
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Rounds of a crossing in which the program picks at random among what is ready.
+const ROUNDS: u64 = 8;
+/// Causes of releases.
+const FULL: u8 = 34;
+const ERROR: u8 = 47;
+/// Types of the owners' messages.
+const ANSWER: u8 = 9;
+const RELEASE: u8 = 12;
+
+/// A set-up in the owners' words.
+fn set_up(task: u64, class: &str, wait_ms: u32, body: &str) -> Vec<u8> {
+    let key = format!("{task:016x}");
+    let figures = "cores:1;memory:2;service:00000000000000aa";
+    let wait = wait_ms.to_string();
+    let all: [(u8, &str); 6] = [(3, class), (4, &wait), (7, "c"), (8, figures), (16, &key), (18, body)];
+    message(1, task, &all)
+}
+
+fn message(kind: u8, task: u64, parameters: &[(u8, &str)]) -> Vec<u8> {
+    let mut out = vec![kind];
+    out.extend(task.to_be_bytes());
+    for (code, value) in parameters {
+        out.push(*code);
+        out.extend((value.len() as u16).to_be_bytes());
+        out.extend(value.as_bytes());
+    }
+    let mut whole = (out.len() as u16).to_be_bytes().to_vec();
+    whole.extend(out);
+    whole
+}
+
+/// A set-up given up.
+fn give_up(task: u64) -> Vec<u8> {
+    let mut out = message(12, task, &[]);
+    out.extend([17, 0, 1, 16]);
+    let length = (out.len() - 2) as u16;
+    out[..2].copy_from_slice(&length.to_be_bytes());
+    out
+}
+
+/// The planner's own test, which every planner answers in its turn.
+fn test(task: u64) -> Vec<u8> {
+    let mut out = message(52, task, &[]);
+    out.extend([17, 0, 1, 0]);
+    let length = (out.len() - 2) as u16;
+    out[..2].copy_from_slice(&length.to_be_bytes());
+    out
+}
+
+fn running(task: u64) -> Vec<u8> {
+    format!("{}\n", json!({"kind": "running", "uid": format!("{task:016x}"), "meta": {}, "body": "here"}))
+        .into()
+}
+
+fn stop(task: u64, cause: u8) -> Vec<u8> {
+    format!("{}\n", json!({"kind": "stop", "uid": format!("{task:016x}"), "meta": {}, "reason": cause}))
+        .into()
+}
+
+fn read(line: &[u8]) -> Value {
+    serde_json::from_slice(line).expect("a message")
+}
+
+/// The number of the task of a line, and its type.
+fn told(line: &[u8]) -> (String, u64) {
+    let said = read(line);
+    let task = u64::from_str_radix(said["uid"].as_str().expect("an id"), 16).expect("an id");
+    (said["kind"].as_str().expect("a type").to_string(), task)
+}
+
+fn listener() -> (TcpListener, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    (listener, address)
+}
+
+fn accept(listener: &TcpListener) -> Wire {
+    Wire::new(listener.accept().expect("the planner connects").0)
+}
+
+fn event(rev: u64, instances: &[Value]) -> Vec<u8> {
+    format!("{}\n", json!({"rev": rev, "pool": {"reset": false, "instances": instances}})).into()
+}
+
+/// How an answer to an owner reads: its type, its task, and its cause where it has one.
+fn answered(wire: &mut Wire) -> Option<(u8, u64, Option<u8>)> {
+    let frame = wire.frame()?;
+    let task = u64::from_be_bytes(frame[3..11].try_into().expect("eight bytes"));
+    let cause = (frame[2] == RELEASE).then(|| frame.last().copied()).flatten();
+    Some((frame[2], task, cause))
+}
+
+/// Guards machines against work that nobody waits for: what a client that has left had sent before is read at a measured
+/// pace where part of it cannot be used, and none of it may begin meanwhile.
+#[test]
+fn nothing_begins_for_a_client_that_left_behind_a_flood() {
+    let (machine, address) = listener();
+    let planner = Planner::start(&[address], None, Some("maxOpenJobs: 10"));
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    client.send(&test(99));
+    client.frame().expect("a passed test");
+    let bad = unescape("\\x00\\x09\\x01\\x00\\x00\\x00\\x00\\x00\\x00\\x00\\x03");
+    planner.paused(|| {
+        for task in 1..=6 {
+            client.send(&[&bad[..], &set_up(task, "stateless", 8000, &"x".repeat(14_000))].concat());
+        }
+        drop(client);
+    });
+    // All six have been heard, and given up, once none of them is open.
+    let mut rest = Wire::connect(&planner.rest);
+    let since = Instant::now();
+    loop {
+        rest.ask("GET /v1/jobs");
+        let jobs = rest.answer().expect("the jobs");
+        if jobs.matches("\"Cancelled\"").count() == 6 {
+            break;
+        }
+        assert!(since.elapsed() < Duration::from_secs(10), "{jobs}");
+    }
+    let mut other = Wire::connect(&planner.owners);
+    other.send(&set_up(7, "stateless", 8000, "x"));
+    assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), 7), "the first that is written");
+}
+
+/// Guards clients that give a request up while its attempt cannot be written: it does not begin later.
+#[test]
+fn what_is_given_up_while_its_machine_is_dialled_is_not_sent() {
+    for way in ["cancel", "close", "half-close"] {
+        let dial_s = json!(5.0);
+        let (machine, address) = full_machine();
+        let mut full = fill(&address);
+        let mut settings = settings();
+        settings["permissions"]["dial_timeout_s"] = dial_s;
+        let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true,
+            "instances": [instance("b1", &address, "in_service")]}}]});
+        let planner =
+            Planner::start_with(json!({"listen": "127.0.0.1:0", "known": known, "settings": settings}), None);
+        let (mut client, mut other) = (Wire::connect(&planner.owners), Wire::connect(&planner.owners));
+        client.send(&set_up(1, "stateless", 8000, "x"));
+        client.send(&test(99));
+        client.frame().expect("it has heard the set-up");
+        match way {
+            "cancel" => client.send(&give_up(1)),
+            "close" => client.stream.shutdown(Shutdown::Both).expect("closed"),
+            _ => client.stream.shutdown(Shutdown::Write).expect("half closed"),
+        }
+        if way == "cancel" {
+            client.send(&test(98));
+            client.frame().expect("it has heard the give-up");
+        } else {
+            let mut one = [0];
+            while !matches!(client.stream.read(&mut one), Ok(0)) {}
+        }
+        other.send(&set_up(2, "stateless", 8000, "x"));
+        // The connection comes up late: the line moves on.
+        full.clear();
+        let mut link = loop {
+            let mut wire = Wire::new(machine.accept().expect("the planner connects").0.into());
+            wire.stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a time-out");
+            if let Some(line) = wire.line() {
+                break (wire, line);
+            }
+        };
+        assert_eq!(told(&link.1), ("launch".into(), 2), "{way}");
+        link.0.send(&running(2));
+        assert_eq!(answered(&mut other), Some((ANSWER, 2, None)));
+    }
+}
+
+/// A machine whose line of connections holds one.
+fn full_machine() -> (socket2::Socket, String) {
+    let listener =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    listener.bind(&any.into()).expect("a place");
+    listener.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("its address").as_socket().expect("IP").to_string();
+    (listener, address)
+}
+
+fn fill(address: &str) -> Vec<TcpStream> {
+    let to = address.parse().expect("an address");
+    let more = || TcpStream::connect_timeout(&to, Duration::from_millis(200)).ok();
+    std::iter::from_fn(more).collect()
+}
+
+/// Guards what runs once against a connection that its machine closed as it is used: nothing was written on it, so that the
+/// attempt never ran and goes out on the next one.
+#[test]
+fn a_connection_that_was_closed_as_idle_loses_no_request() {
+    let (machine, address) = listener();
+    let planner = Planner::start(&[address], None, None);
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    for task in 1..=ROUNDS {
+        planner.paused(|| {
+            client.send(&set_up(task, "once", 8000, "x"));
+            drop(link);
+        });
+        link = accept(&machine);
+        assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), task));
+        link.send(&running(task));
+        assert_eq!(answered(&mut client), Some((ANSWER, task, None)));
+    }
+}
+
+/// Guards what runs once against a machine's answer that is the last thing before its connection is reset, while another
+/// set-up is about to be written there.
+#[test]
+fn an_answer_right_before_a_reset_counts() {
+    let (machine, address) = listener();
+    let planner = Planner::start(&[address], None, None);
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    for round in 1..=ROUNDS {
+        let (first, second) = (2 * round, 2 * round + 1);
+        client.send(&set_up(first, "once", 8000, "x"));
+        assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), first));
+        planner.paused(|| {
+            client.send(&set_up(second, "stateless", 8000, "x"));
+            link.send(&running(first));
+            SockRef::from(&link.stream).set_linger(Some(Duration::ZERO)).expect("a reset");
+            drop(link);
+        });
+        link = accept(&machine);
+        assert_eq!(answered(&mut client), Some((ANSWER, first, None)), "round {round}");
+        // What was to be written meanwhile comes on the new connection, or was on the old one and is over.
+        loop {
+            let (kind, task) = told(&link.line().expect("a message"));
+            if (kind.as_str(), task) == ("launch", second) {
+                link.send(&stop(second, FULL));
+                break;
+            }
+        }
+        loop {
+            match answered(&mut client) {
+                Some((_, task, _)) if task == second => break,
+                other => assert!(other.is_some(), "the connection ended"),
+            }
+        }
+    }
+}
+
+/// Guards what a planner that is told to stop has taken: a pause of the process over the time in which it takes requests must
+/// not have it end before it has heard what came meanwhile, also on a connection that nobody accepted yet.
+#[test]
+fn what_came_in_a_pause_of_a_planner_that_drains_is_answered() {
+    let (machine, address) = listener();
+    let mut planner = Planner::start(&[address], None, None);
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    client.send(&test(99));
+    client.frame().expect("a passed test");
+    planner.term();
+    // It drains once its test fails.
+    loop {
+        client.send(&test(98));
+        if client.frame().expect("a test")[2..].ends_with(&[17, 0, 1, 0]) {
+            break;
+        }
+    }
+    let mut late = planner.paused(|| {
+        client.send(&set_up(1, "stateless", 8000, "x"));
+        let mut late = Wire::connect(&planner.owners);
+        late.send(&set_up(2, "stateless", 8000, "x"));
+        // Longer than it takes requests for after it was told.
+        std::thread::sleep(Duration::from_millis(1200));
+        late
+    });
+    for _ in 0..2 {
+        let (kind, task) = told(&link.line().expect("a set-up"));
+        assert_eq!(kind, "launch");
+        link.send(&running(task));
+    }
+    assert_eq!(answered(&mut client), Some((ANSWER, 1, None)));
+    assert_eq!(answered(&mut late), Some((ANSWER, 2, None)));
+    assert!(planner.child.wait().expect("it ends").success());
+}
+
+/// Guards a client that is still sending while its planner drains: the planner does not end before the rest has come, or
+/// cannot come any more; a second signal changes nothing, and neither does a reload.
+#[test]
+fn a_client_that_sends_while_its_planner_drains_is_answered() {
+    let (machine, address) = listener();
+    let mut planner = Planner::start(&[address], None, None);
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    let whole = set_up(1, "stateless", 8000, "x");
+    planner.term();
+    loop {
+        client.send(&test(98));
+        if client.frame().expect("a test")[2..].ends_with(&[17, 0, 1, 0]) {
+            break;
+        }
+    }
+    let since = Instant::now();
+    client.send(&whole[..5]);
+    planner.reload(None);
+    planner.term();
+    // Past the time in which it takes requests, and short of that in which half a message must be whole.
+    std::thread::sleep(Duration::from_millis(1250).saturating_sub(since.elapsed()));
+    client.send(&whole[5..]);
+    assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), 1));
+    link.send(&running(1));
+    assert_eq!(answered(&mut client), Some((ANSWER, 1, None)));
+    assert!(planner.child.wait().expect("it ends").success());
+}
+
+/// Guards requests on a connection of which nothing more can be heard: each that was taken has its answer before it is closed.
+#[test]
+fn what_was_asked_before_a_spoilt_message_is_answered() {
+    let bad = unescape("\\x00\\x09\\x01\\x00\\x00\\x00\\x00\\x00\\x00\\x00\\x63");
+    let half = set_up(2, "stateless", 8000, "x");
+    for (what, spoilt) in [
+        ("a frame", vec![0, 3, 1, 2, 3]),
+        ("too many", bad.repeat(16)),
+        ("half a message", half[..20].to_vec()),
+    ] {
+        let (machine, address) = listener();
+        let planner = Planner::start(&[address], None, None);
+        let mut link = accept(&machine);
+        let mut client = Wire::connect(&planner.owners);
+        client.send(&set_up(1, "stateless", 8000, "x"));
+        assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), 1));
+        client.send(&spoilt);
+        let mut all = Vec::new();
+        while let Some(answer) = answered(&mut client) {
+            all.push(answer);
+        }
+        let of_first: Vec<_> = all.iter().filter(|(_, task, _)| *task == 1).collect();
+        assert_eq!(of_first, [&(RELEASE, 1, Some(ERROR))], "{what}: {all:?}");
+        assert_eq!(told(&link.line().expect("a word")), ("stop".into(), 1), "{what}: it is given up");
+    }
+}
+
+/// Guards the list against a board that writes and never ends a line: that is silence, too.
+#[test]
+fn a_board_that_never_ends_its_line_is_dialled_anew() {
+    let (board, at) = listener();
+    let _planner = Planner::start(&[], Some(&at), None);
+    let mut first = accept(&board);
+    first.line().expect("watch N");
+    let since = Instant::now();
+    board.set_nonblocking(true).expect("it looks");
+    loop {
+        if let Ok((stream, _)) = board.accept() {
+            stream.set_nonblocking(false).expect("it waits");
+            assert_eq!(Wire::new(stream).line().expect("watch N"), b"watch 1\n");
+            break;
+        }
+        // What the board does to it is not this test's matter any more once it was given up.
+        let _ = std::io::Write::write_all(&mut first.stream, b" ");
+        std::thread::sleep(Duration::from_millis(50));
+        assert!(since.elapsed() < Duration::from_secs(8), "it is taken to be alive");
+    }
+    assert!(since.elapsed() < Duration::from_secs(4), "after {:?}", since.elapsed());
+}
+
+/// Guards a planner whose descriptors idle clients fill while the board is down: usual clients are served, the board is
+/// reached again, and the machines that it names are dialled.
+#[test]
+fn idle_clients_keep_neither_board_nor_machines_out() {
+    const SOCKETS: u32 = 64;
+    let (gone, at) = listener();
+    drop(gone);
+    let machines: Vec<(TcpListener, String)> = (0..31).map(|_| listener()).collect();
+    let named = |range: std::ops::Range<usize>, state: &str| -> Vec<Value> {
+        range.map(|n| instance(&format!("b{n}"), &machines[n].1, state)).collect()
+    };
+    let first = named(0..30, "in_service");
+    let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": first}}]});
+    let limits = json!({"cores": 1.0, "memory_mb": 64, "sockets": SOCKETS});
+    let config = json!({"listen": "127.0.0.1:0", "board": at, "known": known, "limits": limits,
+        "settings": settings()});
+    let planner = Planner::start_with(config, None);
+    let crowd: Vec<Wire> = (0..200).map(|_| Wire::connect(&planner.owners)).collect();
+    let board = TcpListener::bind(&at).expect("the board is back");
+    let mut watch = accept(&board);
+    assert_eq!(watch.line().expect("watch N"), b"watch 1\n");
+    watch.send(&event(2, &[named(0..30, "terminating"), named(30..31, "in_service")].concat()));
+    // The crowd comes again as it is closed.
+    let again: Vec<Wire> = (0..200).map(|_| Wire::connect(&planner.owners)).collect();
+    let mut client = Wire::connect(&planner.owners);
+    client.send(&test(99));
+    assert_eq!(client.frame().expect("a passed test")[2], 53);
+    client.send(&set_up(1, "stateless", 8000, "x"));
+    let since = Instant::now();
+    let mut link = accept(&machines[30].0);
+    assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), 1));
+    // The machine whose place it has does not close its connection; it is not waited for.
+    assert!(since.elapsed() < Duration::from_secs(1), "it waited {:?} for a place", since.elapsed());
+    link.send(&running(1));
+    assert_eq!(answered(&mut client), Some((ANSWER, 1, None)));
+    drop((crowd, again, watch));
+}
