--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -554,3 +554,21 @@
     assert!(taken_back(&ended, 2).is_some() && taken_back(&ended, 3).is_some());
     assert_eq!((bench.core.pending(), bench.core.standing_at(stands)), (0, 1));
 }
+
+/// Guards jobs against a machine that goes and comes back under its name: an answer to what it got before is not taken for
+/// one to a later attempt, elsewhere or there.
+#[test]
+fn an_answer_of_a_machine_gone_and_back_is_of_its_earlier_attempt() {
+    let mut bench = Bench::new("repeatable");
+    let first = launched(&bench.submit(1, None)).expect("a launch");
+    bench.sent(1, 0);
+    let gone = bench.list(&[(first.0, Standing::Gone)]);
+    let second = launched(&gone).expect("it goes elsewhere");
+    assert_ne!(second, first);
+    bench.sent(1, 1);
+    bench.list(&[(first.0, Standing::Ready)]);
+    assert_eq!(answers(&bench.bound(first, 1)), 0);
+    assert_eq!(answers(&bench.end(first, 1, Outcome::Full)), 0);
+    assert_eq!(answers(&bench.bound(second, 1)), 1);
+    assert!(bench.end(first, 1, Outcome::Lost).is_empty(), "nor does it end what stands elsewhere");
+}
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -198,3 +198,47 @@
     inner.close_beside();
     assert!(inner.open_beside() && !inner.open_beside());
 }
+
+/// Guards what a planner that stops has taken: it is not quiet while an answer waits to be written, a message has come in
+/// part, or one lies in the socket unread.
+#[tokio::test]
+async fn a_planner_that_owes_or_has_not_heard_is_not_quiet() {
+    let hub = hub(9);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let mut client = std::net::TcpStream::connect(listener.local_addr().expect("its address")).expect("up");
+    let stream = Arc::new(listener.accept().await.expect("a connection").0);
+    let mut inner = hub.lock();
+    let id = open(&mut inner, 100.0).expect("a place");
+    inner.owners.get_mut(&id).expect("a link").stream = Some(stream.clone());
+    assert!(inner.is_quiet());
+    inner.say(100.0, id, vec![0]);
+    assert!(!inner.is_quiet(), "an answer waits");
+    let link = inner.owners.get_mut(&id).expect("a link");
+    link.outbox.reset();
+    link.half = true;
+    assert!(!inner.is_quiet(), "a message has come in part");
+    inner.owners.get_mut(&id).expect("a link").half = false;
+    assert!(inner.is_quiet());
+    io::Write::write_all(&mut client, &[0]).expect("written");
+    while !is_unread(&stream) {
+        std::thread::yield_now();
+    }
+    assert!(!inner.is_quiet(), "one lies unread");
+}
+
+/// Guards requests that come slowly: a message that has begun does not make its connection one of no use, and goes after
+/// those that said nothing where room is needed.
+#[test]
+fn a_message_that_has_begun_is_of_use() {
+    let hub = hub(2);
+    let mut inner = hub.lock();
+    let half = open(&mut inner, 100.0).expect("a place");
+    let silent = open(&mut inner, 100.5).expect("a place");
+    inner.owners.get_mut(&half).expect("a link").half = true;
+    assert!(inner.useless(109.0, half).is_none() && inner.useless(109.0, silent).is_some());
+    let next = open(&mut inner, 109.0).expect("the silent one makes room");
+    assert!(inner.owners.contains_key(&half) && !inner.owners.contains_key(&silent));
+    inner.owners.get_mut(&next).expect("a link").half = true;
+    assert!(open(&mut inner, 109.1).is_some(), "where all have begun one, the oldest does");
+    assert!(!inner.owners.contains_key(&half));
+}
