--- a/tests/races.rs
+++ b/tests/races.rs
@@ -13,7 +13,6 @@
 /// Rounds of a crossing in which the program picks at random among what is ready.
 const ROUNDS: u64 = 8;
 /// Causes of releases.
-const FULL: u8 = 34;
 const ERROR: u8 = 47;
 /// Types of the owners' messages.
 const ANSWER: u8 = 9;
@@ -470,7 +469,7 @@
 fn a_board_that_moves_amid_an_event_is_asked_for_it_again() {
     let ((old, old_at), (new, new_at)) = (listener(), listener());
     let ((_first, first_at), (second, second_at)) = (listener(), listener());
-    let mut planner = Planner::start(&[first_at.clone()], Some(&old_at), None);
+    let mut planner = Planner::start(std::slice::from_ref(&first_at), Some(&old_at), None);
     let mut watch = accept(&old);
     assert_eq!(watch.line().expect("watch N"), b"watch 1\n");
     let moved = [instance("b1", &first_at, "terminating"), instance("b2", &second_at, "in_service")];
