--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -471,3 +471,21 @@
     let node = Node::start("127.0.0.1:0", plan, Clock::start()).expect("a place to listen");
     (node.address().to_string(), Box_ { node, seen: Default::default() })
 }
+
+/// A box with so short a line of connections that a few fill it.
+pub fn short_box() -> (socket2::Socket, String) {
+    let listener =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    listener.bind(&any.into()).expect("a place");
+    listener.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("its address").as_socket().expect("IP").to_string();
+    (listener, address)
+}
+
+/// Fills a box's line of connections, so that no other comes up.
+pub fn fill(address: &str) -> Vec<TcpStream> {
+    let to = address.parse().expect("an address");
+    let more = || TcpStream::connect_timeout(&to, Duration::from_millis(200)).ok();
+    std::iter::from_fn(more).collect()
+}
