--- /dev/null
+++ b/lab/src/capacity/mod.rs
@@ -0,0 +1,5 @@
+//! Scale tests: what each part of a planner costs as one size grows and the others stand still. Each slope is a module
+//! of its own, measures the real code, and writes one [`record::Slope`] as JSON under `docs/capacity/`.
+
+pub mod command;
+pub mod record;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 //! planner. Everything stays on loopback addresses, is bounded in count and time, and ends by itself.
 
 pub mod audit;
+pub mod capacity;
 pub mod judge;
 pub mod load;
 pub mod net;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use burlhook::decide::fleet::Terms;
 use burlhook::document;
+use burlhook_lab::capacity;
 use burlhook_lab::load::End;
 use burlhook_lab::net::Schedule;
 use burlhook_lab::node::{Node, Plan};
@@ -195,6 +196,11 @@
         #[arg(long)]
         handovers: bool,
     },
+    /// Scale tests: what each part costs as one size grows.
+    Capacity {
+        #[command(subcommand)]
+        action: capacity::command::Action,
+    },
     /// The planner itself, as the rigs start it.
     #[command(hide = true)]
     Planner {
@@ -477,6 +483,7 @@
                 report.over == 0 && report.groups.doubled.is_empty() && report.verdict.broken.is_empty();
             Ok((well && !unanswered) || naive)
         }
+        Command::Capacity { action } => capacity::command::run(action),
         Command::Planner { config, operators } => {
             burlhook::life::log();
             burlhook::life::serve(Some(config), operators).map_err(io::Error::other)?;
