Split the hub by its jobs, and break its circle of imports with peers

src/wire/hub.rs held four jobs in 588 lines, and it and src/wire/peers/mod.rs imported each other. The clock, the connections of machines, the connections of clients with the orphaned answers, and the counts of datagrams between planners are files of their own under src/wire/hub/; the counts (now DatagramCounts) are imported downward by peers. Moves alone: no behaviour changes, and the assertions of src/wire/hub/tests.rs are as they were.

--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -1,41 +1,34 @@
 //! The hub: the core, and the queues of all connections. Tasks turn bytes into inputs and hand them in here;
 //! effects become queued bytes under the same lock, so that no other task sees a state in between.
 
-use super::outbox::{Outbox, Sink, Tag};
-use super::peers::Counts;
+mod client_connections;
+mod clock;
+mod datagrams;
+mod machine_connections;
+
+pub use client_connections::{is_unread, OwnerLink};
+pub use clock::seconds;
+pub use datagrams::DatagramCounts;
+pub use machine_connections::NodeLink;
+
+use super::outbox::{Sink, Tag};
 use super::platform::node::{self, cause};
 use super::platform::owner;
 use super::trail;
 use crate::decide::budgets::Word;
 use crate::decide::fleet::Member;
-use crate::decide::limits::micros;
-use crate::decide::links::{Need, Places};
+use crate::decide::links::Places;
 use crate::placer::*;
 use crate::state::{Core, Effect, Input, Owner, Refusal};
+use client_connections::Orphan;
+use clock::Clock;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::net::TcpStream;
+use std::time::Instant;
 use tokio::sync::{mpsc, watch, Notify};
 
-/// Count. Releases that wait for an owner to come back.
-const MOST_ORPHANS: usize = 4096;
-/// Seconds. A release that found no owner for so long is of no use any more.
-const ORPHAN_S: Seconds = 10.0;
-/// Count. Connections of owners whose address is remembered after they closed.
-const MOST_ORIGINS: usize = 4096;
-
-/// Seconds. A connection on which nothing was said to its owner, and nothing is open, is closed after so long.
-const NOTHING_SAID_S: Seconds = 2.0;
-/// Seconds. So is one on which nothing is open and nothing stands: owners close theirs after 4 s.
-const IDLE_S: Seconds = 8.0;
-
-/// Seconds. An owner that has not read its last answer for so long never will.
-const UNREAD_S: Seconds = 5.0;
-
 /// What the limits leave to connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -49,83 +42,6 @@
     pub links: usize,
 }
 
-/// A span of time; none where it is past, the longest where no clock can tell it.
-pub fn seconds(span: Seconds) -> Duration {
-    Duration::try_from_secs_f64(span.max(0.0)).unwrap_or(Duration::MAX)
-}
-
-/// The Unix clock, made steady: it starts from the system's and never goes back.
-pub struct Clock {
-    unix: Seconds,
-    since: Instant,
-}
-
-impl Clock {
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
-        Clock { unix, since: Instant::now() }
-    }
-
-    pub fn now(&self) -> Seconds {
-        self.unix + self.since.elapsed().as_secs_f64()
-    }
-}
-
-/// A machine's connection, as seen from the hub.
-pub struct NodeLink {
-    /// Tells it from an earlier one to the same machine, whose task may not have ended yet.
-    pub life: u64,
-    pub address: String,
-    pub outbox: Outbox,
-    pub wake: Arc<Notify>,
-    pub probe: Option<Instant>,
-    probes: u64,
-}
-
-/// Whether bytes have come on a connection that nobody has read yet.
-pub fn is_unread(stream: &TcpStream) -> bool {
-    let mut one = [MaybeUninit::uninit(); 1];
-    matches!(socket2::SockRef::from(stream).peek(&mut one), Ok(1..))
-}
-
-/// An owner's connection.
-pub struct OwnerLink {
-    /// Its socket, to see what has come on it; none in tests without one.
-    pub stream: Option<Arc<TcpStream>>,
-    pub outbox: Outbox,
-    pub wake: Arc<Notify>,
-    ip: IpAddr,
-    opened: Seconds,
-    /// When it last sent or was sent something of use.
-    pub used: Seconds,
-    /// Something was said to its owner.
-    told: bool,
-    /// It is closed once nothing is open on it.
-    expelled: bool,
-    /// It is to be closed: its owner does not read, or its place is needed.
-    pub closing: Option<&'static str>,
-}
-
-impl OwnerLink {
-    fn push(&mut self, bytes: Vec<u8>, now: Seconds) {
-        self.push_as(bytes, now, Tag::Plain);
-    }
-
-    fn push_as(&mut self, bytes: Vec<u8>, now: Seconds, tag: Tag) {
-        if !self.outbox.push(bytes, tag) {
-            self.closing = Some("it does not read its answers");
-        }
-        (self.told, self.used) = (true, now);
-        self.wake.notify_one();
-    }
-}
-
-struct Orphan {
-    at: Seconds,
-    ip: Option<IpAddr>,
-    bytes: Vec<u8>,
-}
-
 /// All that the lock guards.
 pub struct Inner {
     pub core: Core,
@@ -149,7 +65,7 @@
     /// Where words to other planners go; none where the planner is in no fleet.
     pub peers: Option<mpsc::Sender<(Member, Vec<Word>)>>,
     /// What came and went between planners.
-    pub peer_counts: Counts,
+    pub peer_counts: DatagramCounts,
 }
 
 /// Shared by all tasks.
@@ -181,7 +97,7 @@
             draining: false,
             turned_away: None,
             peers: None,
-            peer_counts: Counts::default(),
+            peer_counts: DatagramCounts::default(),
         };
         let hub = Hub {
             inner: Mutex::new(inner),
@@ -280,12 +196,6 @@
     }
 }
 
-/// Whether nothing is open on the connection to a box, not even a probe.
-fn is_idle(nodes: &BTreeMap<MachineId, NodeLink>, core: &Core, machine: MachineId) -> bool {
-    let free = nodes.get(&machine).is_some_and(|l| l.outbox.is_empty() && l.probe.is_none());
-    free && !core.is_open_at(machine)
-}
-
 impl Inner {
     fn carry_out(&mut self, now: Seconds, effect: Effect) {
         match effect {
@@ -365,219 +275,12 @@
         }
     }
 
-    fn connect(&mut self, machine: MachineId, address: String) {
-        if let Some(link) = self.nodes.get_mut(&machine) {
-            link.address = address;
-            return link.wake.notify_one();
-        }
-        let life = self.next_link;
-        self.next_link += 1;
-        let link = NodeLink {
-            life,
-            address,
-            outbox: Outbox::new(self.bounds.box_queue),
-            wake: Arc::new(Notify::new()),
-            probe: None,
-            probes: 0,
-        };
-        self.nodes.insert(machine, link);
-        // The receiver lives as long as the program; once it is gone no connection is wanted.
-        let _ = self.connects.send((machine, life));
-    }
-
     /// New bounds; connections that are up stay until their places are wanted.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.bounds = bounds;
         self.places.set_most(bounds.links);
     }
 
-    /// Takes a place for the connection to a box, or has it wait for one; the box's task is woken once it has it.
-    pub fn want_place(&mut self, now: Seconds, machine: MachineId, need: Need) -> bool {
-        let had = self.places.want(now, machine, need);
-        if !had {
-            self.press(now);
-        }
-        had
-    }
-
-    /// Has connections of least use given back, as long as others wait for their places.
-    pub fn press(&mut self, now: Seconds) {
-        let Inner { places, nodes, core, .. } = self;
-        while let Some(machine) = places.give_back(now, |machine| is_idle(nodes, core, machine)) {
-            if let Some(link) = nodes.get(&machine) {
-                link.wake.notify_one();
-            }
-        }
-    }
-
-    /// Whether the connection to a box is to be given back now; where something was opened on it meanwhile, another is.
-    pub fn is_asked_back(&mut self, now: Seconds, machine: MachineId) -> bool {
-        if !self.places.is_asked(machine) {
-            return false;
-        }
-        if is_idle(&self.nodes, &self.core, machine) {
-            return true;
-        }
-        self.places.keep(machine);
-        self.press(now);
-        false
-    }
-
-    /// The connection to a box is closed; its place goes to the next that waits.
-    pub fn yield_place(&mut self, now: Seconds, machine: MachineId) {
-        if let Some(next) = self.places.release(now, machine).and_then(|next| self.nodes.get(&next)) {
-            next.wake.notify_one();
-        }
-    }
-
-    /// What a connection to a box is wanted for.
-    pub fn need(&self, machine: MachineId) -> Need {
-        if self.nodes.get(&machine).is_some_and(|l| !l.outbox.is_empty()) {
-            Need::Now
-        } else if self.core.standing_at(machine) > 0 {
-            Need::Visit
-        } else {
-            Need::Spare
-        }
-    }
-
-    /// Whether closing the connection to a box would lose something: an attempt is open on it, or a message is not yet
-    /// written whole.
-    pub fn is_open_at(&self, machine: MachineId) -> bool {
-        self.nodes.get(&machine).is_some_and(|l| !l.outbox.is_empty()) || self.core.is_open_at(machine)
-    }
-
-    /// Writes a box a word that is free and means nothing: where its process is gone, its host resets the connection.
-    pub fn nudge_node(&mut self, machine: MachineId) {
-        if let Some(job) = self.core.one_at(machine) {
-            self.write_node(machine, node::progress(job), Tag::Plain);
-        }
-    }
-
-    fn write_node(&mut self, machine: MachineId, bytes: Vec<u8>, tag: Tag) {
-        let Some(link) = self.nodes.get_mut(&machine) else { return };
-        if !link.outbox.push(bytes, tag) {
-            // The set-up's time-out ends it; a box this far behind is of no use.
-            tracing::debug!(machine = machine.0, "a box does not read; a message to it is dropped");
-        }
-        link.wake.notify_one();
-    }
-
-    /// Sends to the connection that a job came on. The end of what stood goes to another of the same owner if
-    /// need be, or waits for the next one that is opened.
-    fn write_owner(&mut self, now: Seconds, owner: Owner, bytes: Vec<u8>, standing: bool) {
-        let Owner::Link(origin) = owner else { return };
-        let ip = self.origins.get(&origin).copied();
-        let same = |l: &OwnerLink| ip.is_none_or(|ip| ip == l.ip);
-        let other = |links: &BTreeMap<u64, OwnerLink>| {
-            links.iter().rev().find(|(_, l)| l.closing.is_none() && same(l)).map(|(&id, _)| id)
-        };
-        let to = match self.owners.get(&origin) {
-            Some(link) if link.closing.is_none() || !standing => Some(origin),
-            _ if standing => other(&self.owners),
-            _ => return,
-        };
-        match to.and_then(|to| self.owners.get_mut(&to)) {
-            // The end of what stood is due elsewhere should this connection end before it is written.
-            Some(link) => link.push_as(bytes, now, if standing { Tag::Due } else { Tag::Plain }),
-            None => {
-                if self.orphans.len() >= MOST_ORPHANS {
-                    self.orphans.pop_front();
-                }
-                self.orphans.push_back(Orphan { at: now, ip, bytes });
-            }
-        }
-    }
-
-    /// Books a new connection of an owner, which gets what waited for one. Where all places are taken, the one of
-    /// least use makes room: silent crowds and owners that stay for good must not keep usual ones out.
-    pub fn open_owner(&mut self, now: Seconds, ip: IpAddr) -> Option<(u64, Arc<Notify>)> {
-        if self.owners.len() >= self.bounds.owners {
-            self.make_room()?;
-        }
-        let id = self.next_link;
-        self.next_link += 1;
-        let wake = Arc::new(Notify::new());
-        let outbox = Outbox::new(self.bounds.owner_queue);
-        let mut link = OwnerLink {
-            stream: None,
-            outbox,
-            wake: wake.clone(),
-            ip,
-            opened: now,
-            used: now,
-            told: false,
-            expelled: false,
-            closing: None,
-        };
-        self.orphans.retain_mut(|orphan| {
-            let fits = orphan.ip.is_none_or(|other| other == ip);
-            if fits {
-                link.push_as(std::mem::take(&mut orphan.bytes), now, Tag::Due);
-            }
-            !fits && now - orphan.at < ORPHAN_S
-        });
-        self.origins.insert(id, ip);
-        if self.origins.len() > MOST_ORIGINS {
-            self.origins.pop_first();
-        }
-        self.owners.insert(id, link);
-        Some((id, wake))
-    }
-
-    /// Closes the connection that is of least use: silent before idle, and idle before one on which something stands;
-    /// of these the one that was used last the longest ago. Nothing where each has something open.
-    pub fn make_room(&mut self) -> Option<()> {
-        let use_of = |(&id, link): (&u64, &OwnerLink)| {
-            let owed = self.core.owed(id);
-            let free = owed.open == 0 && link.outbox.is_empty();
-            free.then_some(((link.closing.is_none(), owed.standing > 0, link.told, micros(link.used)), id))
-        };
-        let mut free: Vec<_> = self.owners.iter().filter_map(use_of).collect();
-        free.sort_unstable();
-        // What has come on it unread is taken, and would be lost with it.
-        let unread =
-            |id: &u64| self.owners.get(id).and_then(|l| l.stream.as_ref()).is_some_and(|s| is_unread(s));
-        let least = free.into_iter().map(|(_, id)| id).find(|id| !unread(id))?;
-        if let Some(link) = self.owners.remove(&least) {
-            link.wake.notify_one();
-        }
-        Some(())
-    }
-
-    /// Books the end of an owner's connection; ends of what stood that were not written whole on it go to another.
-    pub fn close_owner(&mut self, now: Seconds, id: u64) {
-        let Some(mut link) = self.owners.remove(&id) else { return };
-        for bytes in link.outbox.take_due() {
-            self.write_owner(now, Owner::Link(id), bytes, true);
-        }
-    }
-
-    /// Why a connection is of no more use, where it is not.
-    pub fn useless(&self, now: Seconds, id: u64) -> Option<&'static str> {
-        let link = self.owners.get(&id)?;
-        let owed = self.core.owed(id);
-        if !link.outbox.is_empty() {
-            return (now - link.used > UNREAD_S).then_some("it does not read its answers");
-        }
-        if owed.open > 0 {
-            return None;
-        }
-        if link.expelled {
-            return Some("it used an id twice");
-        }
-        let silent = !link.told && owed.standing == 0 && now - link.opened > NOTHING_SAID_S;
-        let idle = owed.standing == 0 && now - link.used > IDLE_S;
-        silent.then_some("nothing of use came on it").or(idle.then_some("it is idle"))
-    }
-
-    /// Answers a connection directly.
-    pub fn say(&mut self, now: Seconds, link: u64, bytes: Vec<u8>) {
-        if let Some(link) = self.owners.get_mut(&link) {
-            link.push(bytes, now);
-        }
-    }
-
     /// Whether nothing waits to be answered or written to an owner.
     pub fn is_quiet(&self) -> bool {
         self.core.pending() == 0 && self.owners.values().all(|l| l.outbox.is_empty())
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::state::tests::core;
 use crate::state::{Ask, Notice, Spec};
+use std::time::Duration;
 
 fn hub(owners: usize) -> Arc<Hub> {
     Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64, links: 9 }).0
--- a/src/wire/peers/mod.rs
+++ b/src/wire/peers/mod.rs
@@ -3,7 +3,7 @@
 
 mod words;
 
-use super::hub::Hub;
+use super::hub::{DatagramCounts, Hub};
 use crate::decide::budgets::Word;
 use crate::decide::fleet::settings::FleetSettings;
 use crate::decide::fleet::{Life, Member};
@@ -20,33 +20,6 @@
 /// Count. Datagrams that are taken in one after the other before other tasks have their turn.
 const IN_A_ROW: usize = 32;
 
-/// What came and went, and what was dropped.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Datagrams heard, and their bytes.
-    pub heard: (u64, u64),
-    /// Datagrams sent, and their bytes.
-    pub sent: (u64, u64),
-    /// From an address that is not in the list, or not that of the planner that they name.
-    pub unlisted: u64,
-    /// Of another fleet, list or terms, or spoilt.
-    pub other: u64,
-    /// Of another version.
-    pub version: u64,
-    /// Cannot be read.
-    pub unreadable: u64,
-}
-
-impl Counts {
-    fn dropped(&mut self, why: Malformed) {
-        match why {
-            Malformed::Check => self.other += 1,
-            Malformed::Version(_) => self.version += 1,
-            Malformed::Length(_) | Malformed::Words => self.unreadable += 1,
-        }
-    }
-}
-
 /// Says and hears words for as long as the program runs.
 pub async fn serve(
     hub: Arc<Hub>,
@@ -98,6 +71,15 @@
             hub.apply_in(&mut inner, Input::Peer { from: (letter.from, letter.life), words: letter.words });
         }
         Ok(_) => inner.peer_counts.unlisted += 1,
-        Err(why) => inner.peer_counts.dropped(why),
+        Err(why) => count_dropped(&mut inner.peer_counts, why),
+    }
+}
+
+/// Counts a datagram that could not be read by why.
+fn count_dropped(counts: &mut DatagramCounts, why: Malformed) {
+    match why {
+        Malformed::Check => counts.other += 1,
+        Malformed::Version(_) => counts.version += 1,
+        Malformed::Length(_) | Malformed::Words => counts.unreadable += 1,
     }
 }
--- a/src/wire/rest/limits.rs
+++ b/src/wire/rest/limits.rs
@@ -5,7 +5,7 @@
 use super::Front;
 use crate::decide::limits::{explain, Figures};
 use crate::state::FleetView;
-use crate::wire::peers::Counts;
+use crate::wire::hub::DatagramCounts;
 use axum::extract::State;
 use serde_json::{json, Map, Value};
 use std::sync::Arc;
@@ -16,7 +16,7 @@
 }
 
 /// The planner's part in its fleet: what it holds of each budget.
-fn fleet(of: &FleetView, counts: &Counts) -> Value {
+fn fleet(of: &FleetView, counts: &DatagramCounts) -> Value {
     let slots = of.slots.iter().map(|(slot, left_s)| json!({"slot": slot, "forMs": (left_s * 1e3).round()}));
     let budgets = of.budgets.iter().map(|b| {
         json!({"place": &*b.place, "of": b.kind.word(), "whole": b.whole.1, "wholeOfFile": b.whole.0,
