Fit a figure's shape with 95% intervals, the largest size held out

The scale tests need a shape, an interval and a prediction for each figure.

Figure::fit chooses between constant, linear, n log n and square by the Bayesian information criterion, the simpler shape where that is within 2, by least squares of relative errors: sizes span three orders of magnitude, and on the raw scale the largest would rule. nalgebra solves, statrs gives the quantiles (both without default features); linregress gives neither a prediction's interval nor quantiles.

--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -2,4 +2,5 @@
 //! of its own, measures the real code, and writes one [`record::Slope`] as JSON under `docs/capacity/`.
 
 pub mod command;
+pub mod fit;
 pub mod record;
