Let a draining planner hear all that came in a pause before it ends

Ruled out: the time that clients are given (it had passed in truth) and unwritten answers (is_quiet asks for them). Lines at fault: life/mod.rs drain, where the main task runs first after the pause and takes the silence that it remembers for one that still holds, and hub.rs is_quiet, which knew nothing of bytes that nobody has read. Change: before it ends, the planner has the runtime look at its sockets and lets all whom that woke, the accepting task included, have their turn (a yield, then an empty task that stands behind them); what lies unread on a client's connection is no quiet.

--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -153,6 +153,14 @@
     hub.apply(Input::GroupSettings(operators.groups.clone()));
 }
 
+/// Has all other tasks take what has come for them by now, connections that nobody accepted yet included.
+async fn hear_arrived() {
+    // The runtime looks at its sockets before it goes on here ...
+    tokio::task::yield_now().await;
+    // ... and whoever it woke then stands in its queue before this.
+    let _ = tokio::spawn(async {}).await;
+}
+
 impl Life {
     fn enter(&mut self, phase: Phase) {
         tracing::info!(from = %self.phase, to = %phase, "phase");
@@ -293,10 +301,17 @@
             if !hub.lock().is_quiet() {
                 busy = Instant::now();
             }
-            let done = since.elapsed() >= TAKES_ON && busy.elapsed() >= QUIET;
-            if done || since.elapsed() >= longest {
+            if since.elapsed() >= longest {
                 return;
             }
+            if since.elapsed() >= TAKES_ON && busy.elapsed() >= QUIET {
+                // After a pause of the process this may be the first to run.
+                hear_arrived().await;
+                if hub.lock().is_quiet() {
+                    return;
+                }
+                busy = Instant::now();
+            }
             tokio::select! {
                 () = tokio::time::sleep(LOOK) => {}
                 _ = signals.interrupts.recv() => return,
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -281,9 +281,10 @@
         self.places.set_most(bounds.links);
     }
 
-    /// Whether nothing waits to be answered or written to an owner.
+    /// Whether nothing waits to be answered or written to an owner, and nothing that they sent waits to be read.
     pub fn is_quiet(&self) -> bool {
-        self.core.pending() == 0 && self.owners.values().all(|l| l.outbox.is_empty())
+        let unread = |l: &OwnerLink| l.stream.as_ref().is_some_and(|s| is_unread(s));
+        self.core.pending() == 0 && self.owners.values().all(|l| l.outbox.is_empty() && !unread(l))
     }
 }
 
