Read a machine's connection to its last byte before a set-up leaves on it

Ruled out: the order of the tasks within one look of the runtime; what it knows is older than the pause, so that its own try_read says that nothing is there. Lines at fault: boxes.rs talk, which wrote before it read, and returned the write's error before it read what had come. Change: where a set-up waits, the connection is read first, of the system itself (wire/arrived.rs): what came is heard, and on one that is closed or broken nothing leaves. It never ran and goes on the next connection.

--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -78,6 +78,12 @@
         self.parcels.is_empty()
     }
 
+    /// Whether a set-up waits of which nothing has left.
+    pub fn has_set_up(&self) -> bool {
+        let begun = usize::from(self.written > 0);
+        self.parcels.iter().skip(begun).any(|p| matches!(p.tag, Tag::Launch(..)))
+    }
+
     /// Takes a set-up back; false where its first byte has left.
     pub fn take_back(&mut self, job: RequestId) -> bool {
         let first = usize::from(self.written > 0);
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -6,6 +6,7 @@
 use crate::decide::spread::Draws;
 use crate::placer::*;
 use crate::state::Input;
+use crate::wire::arrived::{read_arrived, Reached};
 use crate::wire::hub::{seconds, Hub};
 use bytes::{Buf, BytesMut};
 use std::io;
@@ -291,6 +292,20 @@
         looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             *signs = watch.signs();
+            if self.has_set_up() {
+                // What the machine said before it closed the connection is heard, and no attempt leaves on one that is closed:
+                // it never ran, and goes on the next.
+                let unheard = buffer.len();
+                let reached = read_arrived(stream, buffer);
+                if buffer.len() > unheard {
+                    self.hear_of(buffer, &mut watch, &mut part_since)?;
+                }
+                match reached {
+                    Reached::Open => {}
+                    Reached::End => return Ok(End::Closed),
+                    Reached::Broken(error) => return Err(error),
+                }
+            }
             let at = (self.machine, self.life, address);
             let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(End::Closed) };
             if self.hub.lock().is_asked_back(self.hub.now(), self.machine) {
@@ -354,12 +369,7 @@
                         buffer.reserve(READ_BYTES);
                         match stream.try_read_buf(buffer) {
                             Ok(0) => return Ok(End::Closed),
-                            Ok(_) => {
-                                self.hub.lock().places.used(self.hub.now(), self.machine);
-                                let of_task = self.hear(buffer)?;
-                                watch.heard(self.hub.now(), of_task);
-                                part_since = (!buffer.is_empty()).then(Instant::now);
-                            }
+                            Ok(_) => self.hear_of(buffer, &mut watch, &mut part_since)?,
                             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                             Err(error) => return Err(error),
                         }
@@ -369,6 +379,26 @@
         }
     }
 
+    /// Whether a set-up waits to leave.
+    fn has_set_up(&self) -> bool {
+        let inner = self.hub.lock();
+        inner.nodes.get(&self.machine).is_some_and(|l| l.life == self.life && l.outbox.has_set_up())
+    }
+
+    /// Takes what has come on the connection in use.
+    fn hear_of(
+        &self,
+        buffer: &mut BytesMut,
+        watch: &mut Watch,
+        part_since: &mut Option<Instant>,
+    ) -> io::Result<()> {
+        self.hub.lock().places.used(self.hub.now(), self.machine);
+        let of_task = self.hear(buffer)?;
+        watch.heard(self.hub.now(), of_task);
+        *part_since = (!buffer.is_empty()).then(Instant::now);
+        Ok(())
+    }
+
     /// Takes what its box says on a connection beside the one in use, until the box ends it.
     async fn hear_out(self, stream: TcpStream, mut buffer: BytesMut) {
         let end = async {
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -5,6 +5,7 @@
 
 use exchange::{fill, instance, settings, short_box, unescape, Planner, Wire};
 use serde_json::{json, Value};
+use socket2::SockRef;
 use std::io::Read;
 use std::net::{Shutdown, TcpListener};
 use std::time::{Duration, Instant};
@@ -194,6 +195,40 @@
     }
 }
 
+/// Guards what runs once against a machine's answer that is the last thing before its connection is reset, while another
+/// set-up is about to be written there.
+#[test]
+fn an_answer_right_before_a_reset_counts() {
+    let (machine, address) = listener();
+    let planner = Planner::start(&[address], None, None);
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    for round in 1..=ROUNDS {
+        let (first, second) = (2 * round, 2 * round + 1);
+        client.send(&set_up(first, "once", 8000, "x"));
+        // What is left of the round before comes ahead of it, and a link that was gone over from ends.
+        loop {
+            match link.line().map(|line| told(&line)) {
+                Some(said) if said == ("launch".into(), first) => break,
+                Some((_, task)) => assert_eq!(task, first - 1),
+                None => link = accept(&machine),
+            }
+        }
+        planner.paused(|| {
+            client.send(&set_up(second, "stateless", 8000, "x"));
+            link.send(&running(first));
+            SockRef::from(&link.stream).set_linger(Some(Duration::ZERO)).expect("a reset");
+            drop(link);
+        });
+        link = accept(&machine);
+        assert_eq!(answered(&mut client), Some((ANSWER, first, None)), "round {round}");
+        // Whether the other one left on the old connection is left to chance; nobody waits for it.
+        client.send(&give_up(second));
+        client.send(&test(99));
+        while answered(&mut client).expect("its test").0 != 53 {}
+    }
+}
+
 /// Guards what a planner that is told to stop has taken: a pause of the process over the time in which it takes requests must
 /// not have it end before it has heard what came meanwhile, also on a connection that nobody accepted yet.
 #[test]
