Read all that a client has sent before anything of it leaves for a machine

Ruled out: the machine's link (it writes what is queued, and takes back what is given up in the same look). Line at fault: owners.rs talk, which read 16 KiB, let all others run, and then paused its reading (PENALTY) with the end unread. Change: what has come is read and heard in one go, up to 1 MiB, before another task runs; the pause comes after that. A client's end thereby takes back what it asked for before any of it is written. A read that finds nothing more ended each look before, too: no further call. Limit: of more than 1 MiB in one go the first part may begin, as may what comes while the end is still on its way.

--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -4,6 +4,7 @@
 use super::owner::{self, kind, Malformed, Message, SetUp};
 use crate::placer::*;
 use crate::state::{Ask, Input, Owner, Spec};
+use crate::wire::arrived::TURN_BYTES;
 use crate::wire::hub::{is_unread, Hub, Inner};
 use bytes::{Buf, BytesMut};
 use std::io;
@@ -101,26 +102,21 @@
             }
             ready = ready => {
                 if ready?.is_readable() {
-                    buffer.reserve(READ_BYTES);
-                    match stream.try_read_buf(&mut buffer) {
-                        Ok(0) => return Ok(()),
-                        Ok(_) => {
-                            let (whole, bad) = hear(hub, id, &mut buffer)?;
-                            if bad > 0 {
-                                faults += bad;
-                                read_from = Instant::now() + PENALTY;
-                            }
-                            half_since = match buffer.is_empty() {
-                                true => None,
-                                false if whole > 0 => Some(Instant::now()),
-                                false => half_since.or_else(|| Some(Instant::now())),
-                            };
-                            if buffer.is_empty() {
-                                buffer = BytesMut::new(); // Idle connections keep no memory.
-                            }
-                        }
-                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                        Err(error) => return Err(error),
+                    let Turn { whole, bad, ended } = hear_all(hub, id, stream, &mut buffer)?;
+                    if ended {
+                        return Ok(());
+                    }
+                    if bad > 0 {
+                        faults += bad;
+                        read_from = Instant::now() + PENALTY;
+                    }
+                    half_since = match buffer.is_empty() {
+                        true => None,
+                        false if whole > 0 => Some(Instant::now()),
+                        false => half_since.or_else(|| Some(Instant::now())),
+                    };
+                    if buffer.is_empty() {
+                        buffer = BytesMut::new(); // Idle connections keep no memory.
                     }
                 }
             }
@@ -128,6 +124,41 @@
     }
 }
 
+/// What one look at a connection brought.
+#[derive(Default)]
+struct Turn {
+    /// Count. Whole messages.
+    whole: u32,
+    /// Count. Those of them that cannot be used.
+    bad: u32,
+    /// Its client closed it.
+    ended: bool,
+}
+
+/// Takes all that has come on a connection before anything of it leaves for a machine: were part of it left unread, what the
+/// rest asks for would begin though the client's end stands behind it.
+fn hear_all(hub: &Hub, id: u64, stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<Turn> {
+    let (mut turn, mut read) = (Turn::default(), 0);
+    while read < TURN_BYTES && turn.bad < MOST_FAULTS {
+        buffer.reserve(READ_BYTES);
+        match stream.try_read_buf(buffer) {
+            Ok(0) => {
+                turn.ended = true;
+                break;
+            }
+            Ok(count) => {
+                read += count;
+                let (whole, bad) = hear(hub, id, buffer)?;
+                turn.whole += whole;
+                turn.bad += bad;
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(turn)
+}
+
 /// Takes all whole messages that have come; tells how many, and how many of them cannot be used.
 fn hear(hub: &Hub, id: u64, buffer: &mut BytesMut) -> io::Result<(u32, u32)> {
     let (mut whole, mut bad) = (0, 0);
