Take a board that never ends its line to be silent

Seen: each byte that the notice board wrote put its silence off, so that one that trickles and never ends a line was followed for good. Line at fault: lists.rs watch, a time-out for each read.

--- a/src/wire/platform/lists.rs
+++ b/src/wire/platform/lists.rs
@@ -12,10 +12,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch::Receiver;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// The board writes a line every second: after this long it is taken to be silent.
 const SILENCE: Duration = Duration::from_millis(2200);
+/// Bytes of one line that are a sign of life as a whole line is: a long list may take longer than that silence.
+const SIGN_BYTES: usize = 64 * 1024;
 /// A connection that has not come up by then is tried anew.
 const DIAL: Duration = Duration::from_millis(500);
 /// Waits between tries: the first, and the longest.
@@ -64,13 +66,21 @@
     stream.set_nodelay(true)?;
     stream.write_all(&board::watch(*rev)).await?;
     let mut buffer = BytesMut::new();
+    // Bytes that never make a line are silence, too.
+    let (mut silent_at, mut came) = (Instant::now() + SILENCE, 0);
     loop {
-        if timeout(SILENCE, stream.read_buf(&mut buffer)).await?? == 0 {
+        let read = timeout_at(silent_at, stream.read_buf(&mut buffer)).await??;
+        if read == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
+        came += read;
+        if came >= SIGN_BYTES {
+            (silent_at, came) = (Instant::now() + SILENCE, 0);
+        }
         loop {
             let long = |e| io::Error::new(io::ErrorKind::InvalidData, format!("{e}"));
             let Some((length, line)) = take_line(&buffer, board::MOST_BYTES).map_err(long)? else { break };
+            (silent_at, came) = (Instant::now() + SILENCE, 0);
             match board::read(line) {
                 Ok(Line::Event(event)) if event.rev > *rev => {
                     *rev = event.rev;
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -6,10 +6,12 @@
 use exchange::{fill, instance, settings, short_box, unescape, Planner, Wire};
 use serde_json::{json, Value};
 use socket2::SockRef;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::time::{Duration, Instant};
 
+/// Far longer than anything takes: it only ends a test that hangs.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// Rounds of a crossing in which the program picks at random among what is ready.
 const ROUNDS: u64 = 8;
 /// Causes of releases.
@@ -355,6 +357,25 @@
     }
 }
 
+/// Guards the list against a board that writes and never ends a line: that is silence, too.
+#[test]
+fn a_board_that_never_ends_its_line_is_dialled_anew() {
+    let (board, at) = listener();
+    let _planner = Planner::start(&[], Some(&at), None);
+    let mut first = accept(&board);
+    assert_eq!(first.line().expect("watch N"), b"watch 1\n");
+    let again = std::thread::spawn(move || accept(&board).line());
+    // Far oftener than a board writes its lines; the last of it fails, or is read by nobody.
+    first.stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+    let since = Instant::now();
+    while !again.is_finished() {
+        let _ = first.stream.write_all(b" ");
+        let _ = first.stream.read(&mut [0]);
+        assert!(since.elapsed() < PATIENCE, "it is taken to be alive");
+    }
+    assert_eq!(again.join().expect("it is dialled").expect("watch N"), b"watch 1\n");
+}
+
 /// Guards the list where the board moves while the old one is in the midst of an event: that part counts for nothing, and
 /// the new one is asked from the last whole event.
 #[test]
