Answer what a client asked before its connection is closed as spoilt

Seen: a spoilt frame, half a message that never ends, or too many messages that cannot be used closed a client's connection without an answer to what it had asked on it before (what_was_asked_before_a_spoilt_message_is_answered, from the history; it fails without this). Lines at fault: owners.rs talk and hear, which returned the error; the end of the connection then counted as a give-up. Change: nothing more is heard, what is open on the connection is failed (Input::OwnerFaulty), its answers are written, then it is closed; what stands stays.

--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -149,6 +149,12 @@
             .map_or(Owed::default(), |of| Owed { open: of.open, standing: of.jobs.len() - of.open })
     }
 
+    /// The jobs that came on a connection and wait for their final answer.
+    fn open_on(&self, link: u64) -> Vec<RequestId> {
+        let open = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.phase == Phase::Pending);
+        self.links.get(&link).map_or(vec![], |of| of.jobs.iter().copied().filter(open).collect())
+    }
+
     /// Tasks that stand at a machine.
     pub fn standing_at(&self, machine: MachineId) -> usize {
         self.nodes.get(&machine).map_or(0, |n| n.standing.len())
@@ -188,13 +194,15 @@
             Input::Adopt { ask, machine } => self.adopt(now, ask, machine, effects),
             Input::Cancel { job, cause } => self.cancel(now, job, cause, effects),
             Input::OwnerGone { link } => {
-                let open = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.phase == Phase::Pending);
-                let gone: Vec<RequestId> =
-                    self.links.get(&link).map_or(vec![], |of| of.jobs.iter().copied().filter(open).collect());
-                for job in gone {
+                for job in self.open_on(link) {
                     self.cancel(now, job, 0, effects);
                 }
             }
+            Input::OwnerFaulty { link } => {
+                for job in self.open_on(link) {
+                    self.take_back(now, job, true, effects);
+                }
+            }
             Input::Sent { job, attempt } => {
                 let trial = self.jobs.get_mut(&job).and_then(|j| j.trial.as_mut());
                 if let Some(trial) = trial.filter(|t| t.attempt == attempt) {
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -474,3 +474,28 @@
     assert_eq!(answers(&bench.bound(second, 1)), 1);
     assert!(bench.end(first, 1, Outcome::Lost).is_empty(), "nor does it end what stands elsewhere");
 }
+
+fn taken_back(effects: &[Effect], job: u64) -> Option<MachineId> {
+    let of = |e: &Effect| match e {
+        Effect::GiveUp { machine, job: id } if id.0 == job => Some(*machine),
+        _ => None,
+    };
+    effects.iter().find_map(of)
+}
+
+/// Guards clients of a connection of which nothing more can be heard: what they asked before has its one answer, and what
+/// stands stays.
+#[test]
+fn what_is_open_on_a_faulty_connection_is_answered() {
+    let mut bench = Bench::new("repeatable");
+    let stands = launched(&bench.submit(1, None)).expect("a launch");
+    bench.sent(1, 0);
+    bench.bound(stands, 1);
+    bench.submit(2, None);
+    bench.submit(3, None);
+    bench.sent(3, 0);
+    let ended = bench.tell(Input::OwnerFaulty { link: 1 });
+    assert_eq!(answers(&ended), 2);
+    assert!(taken_back(&ended, 2).is_some() && taken_back(&ended, 3).is_some());
+    assert_eq!((bench.core.pending(), bench.core.standing_at(stands)), (0, 1));
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -118,6 +118,8 @@
     Cancel { job: RequestId, cause: u8 },
     /// A connection of owners is gone: what is open on it is given up, what stands stays.
     OwnerGone { link: u64 },
+    /// Nothing that comes on a connection of owners can be heard any more: what is open on it is failed, what stands stays.
+    OwnerFaulty { link: u64 },
     /// The first byte of an attempt left the process.
     Sent { job: RequestId, attempt: AttemptNo },
     /// A machine says that the task stands.
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -68,6 +68,8 @@
     let mut buffer = BytesMut::new();
     let mut half_since = None;
     let mut faults = 0;
+    // Why nothing more is heard: what was open has its answer, and the answers are still to be written.
+    let mut over: Option<io::Error> = None;
     let mut read_from = Instant::now();
     let mut looks = tokio::time::interval(LOOK);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -81,10 +83,14 @@
             }
             !link.outbox.is_empty()
         };
-        if faults >= MOST_FAULTS && !waits {
-            return Err(io::Error::other("too many messages that cannot be used"));
+        if let Some(over) = over.take_if(|_| !waits) {
+            return Err(over);
         }
-        let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+        let interest = match (waits, over.is_some()) {
+            (false, _) => Interest::READABLE,
+            (true, false) => Interest::READABLE | Interest::WRITABLE,
+            (true, true) => Interest::WRITABLE,
+        };
         let ready = async {
             tokio::time::sleep_until(read_from).await;
             stream.ready(interest).await
@@ -95,14 +101,25 @@
                 let useless = hub.lock().useless(hub.now(), id);
                 // A request that has come, though not yet to this program, has been taken.
                 let useless = useless.filter(|_| !is_unread(stream));
-                let half = half_since.filter(|since: &Instant| since.elapsed() > HALF).map(|_| "half a message");
-                if let Some(why) = useless.or(half) {
+                if let Some(why) = useless {
                     return Err(io::Error::other(why));
                 }
+                if half_since.is_some_and(|since: Instant| since.elapsed() > HALF) {
+                    half_since = None;
+                    over = Some(hear_no_more(hub, id, io::Error::other("half a message")));
+                }
             }
             ready = ready => {
-                if ready?.is_readable() {
-                    let Turn { whole, bad, ended } = hear_all(hub, id, stream, &mut buffer)?;
+                if ready?.is_readable() && over.is_none() {
+                    let heard = match hear_all(hub, id, stream, &mut buffer) {
+                        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                            half_since = None;
+                            over = Some(hear_no_more(hub, id, error));
+                            continue;
+                        }
+                        heard => heard?,
+                    };
+                    let Turn { whole, bad, ended } = heard;
                     if ended {
                         return Ok(());
                     }
@@ -110,6 +127,10 @@
                         faults += bad;
                         read_from = Instant::now() + PENALTY;
                     }
+                    if faults >= MOST_FAULTS {
+                        let many = io::Error::other("too many messages that cannot be used");
+                        over = Some(hear_no_more(hub, id, many));
+                    }
                     half_since = match buffer.is_empty() {
                         true => None,
                         false if whole > 0 => Some(Instant::now()),
@@ -124,6 +145,12 @@
     }
 }
 
+/// Nothing more is heard on a connection, for that reason; what was asked on it before is answered all the same.
+fn hear_no_more(hub: &Hub, id: u64, why: io::Error) -> io::Error {
+    hub.apply(Input::OwnerFaulty { link: id });
+    why
+}
+
 /// What one look at a connection brought.
 #[derive(Default)]
 struct Turn {
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -14,7 +14,8 @@
 const PATIENCE: Duration = Duration::from_secs(20);
 /// Rounds of a crossing in which the program picks at random among what is ready.
 const ROUNDS: u64 = 8;
-/// Causes of releases.
+/// The cause of a release whose task may have run.
+const ERROR: u8 = 47;
 /// Types of the owners' messages.
 const ANSWER: u8 = 9;
 const RELEASE: u8 = 12;
@@ -357,6 +358,33 @@
     }
 }
 
+/// Guards requests on a connection of which nothing more can be heard: each that was taken has its answer before it is closed.
+#[test]
+fn what_was_asked_before_a_spoilt_message_is_answered() {
+    let bad = unescape("\\x00\\x09\\x01\\x00\\x00\\x00\\x00\\x00\\x00\\x00\\x63");
+    let half = set_up(2, "stateless", 8000, "x");
+    for (what, spoilt) in [
+        ("a frame", vec![0, 3, 1, 2, 3]),
+        ("too many", bad.repeat(16)),
+        ("half a message", half[..20].to_vec()),
+    ] {
+        let (machine, address) = listener();
+        let planner = Planner::start(&[address], None, None);
+        let mut link = accept(&machine);
+        let mut client = Wire::connect(&planner.owners);
+        client.send(&set_up(1, "stateless", 8000, "x"));
+        assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), 1));
+        client.send(&spoilt);
+        let mut all = Vec::new();
+        while let Some(answer) = answered(&mut client) {
+            all.push(answer);
+        }
+        let of_first: Vec<_> = all.iter().filter(|(_, task, _)| *task == 1).collect();
+        assert_eq!(of_first, [&(RELEASE, 1, Some(ERROR))], "{what}: {all:?}");
+        assert_eq!(told(&link.line().expect("a word")), ("stop".into(), 1), "{what}: it is given up");
+    }
+}
+
 /// Guards the list against a board that writes and never ends a line: that is silence, too.
 #[test]
 fn a_board_that_never_ends_its_line_is_dialled_anew() {
