Hold the repeat window and a cold machine's part also while an attempt waits to leave

Seen, by tests of the reducer from the history: the window for repeats was looked at when a further attempt was queued, and not when it left, so that it could leave after its window; a cold machine's part likewise, so that parts of two windows could leave at once; and what was queued for a machine that restarted went to the cold one. Lines at fault: attempts.rs bind, machines.rs list (only drains took the queue back). Change: an attempt whose window, or whose quarter of fall_s for a cold machine, ends before its time is up gets an alarm (Alarm::Unsent) that takes it back if it has not left; what waits for a machine that is told to have come up anew is decided anew.

--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -7,6 +7,7 @@
     Placer,
     GiveUp(RequestId, AttemptNo),
     Unproved(RequestId, AttemptNo),
+    Unsent(RequestId, AttemptNo),
     Answer(RequestId),
     Unlisted(RequestId),
     Forget(RequestId),
@@ -38,6 +39,12 @@
                 Alarm::Placer => placer = true,
                 Alarm::GiveUp(job, attempt) => self.time_out(now, job, attempt, effects),
                 Alarm::Unproved(job, attempt) => self.unheard(now, job, attempt, effects),
+                Alarm::Unsent(job, attempt) => {
+                    if let Some(machine) = self.unsent(job, attempt) {
+                        effects.push(Effect::GiveUp { machine, job });
+                        self.trial_over(now, job, Outcome::Moot, Reason::Unknown, None, effects);
+                    }
+                }
                 Alarm::Answer(job) => {
                     // Guards rule 1, should the module have let a job pass its deadline.
                     if self.jobs.get(&job).is_some_and(|j| j.phase == Phase::Pending) {
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -8,6 +8,9 @@
 
 /// Seconds. So long a machine has to answer that it heard a give-up: as long as it has for any test.
 const PROOF_S: Seconds = 1.0;
+/// Share of `fall_s`. So long an attempt for a cold machine may wait to leave: the module counts its offers when they are
+/// decided, over windows that are longer by this (`COLD_WINDOWS` of the module).
+const COLD_QUEUED: f64 = 0.25;
 /// Seconds. Kept free before the deadline for the answer of a job whose give-up nobody heard.
 const PROOF_SPARE_S: Seconds = 0.02;
 
@@ -64,6 +67,16 @@
         }
         let job = self.jobs.get_mut(&id)?;
         let until = give_up_at.min(job.task.deadline).min(now + limits.attempt_s);
+        // It may wait in the queue until its window has ended, or until the machine's next part is let out.
+        let window_ends = match self.settings.classes[job.task.class].effect {
+            Effect_::Keyed { window_s, .. } => {
+                job.risky_since.map(|since| since + window_s.min(limits.window_s))
+            }
+            _ => None,
+        };
+        let is_cold = entry.is_some_and(|e| e.started > 0.0 && now < e.started + self.settings.warm_within_s);
+        let part_ends = is_cold.then_some(now + self.settings.fall_s * COLD_QUEUED);
+        let leaves_by = window_ends.into_iter().chain(part_ends).fold(until, f64::min);
         self.asks += u64::from(again);
         let fence = again.then_some(self.asks);
         let (left, asked, out_of_sight) = (false, None, false);
@@ -74,6 +87,9 @@
         }
         effects.push(Effect::Launch { machine, job: id, attempt, left_s: until - now, fence, spec });
         self.alarm(until, Alarm::GiveUp(id, attempt));
+        if leaves_by < until {
+            self.alarm(leaves_by, Alarm::Unsent(id, attempt));
+        }
         self.changed(id, ChangeKind::Modified, effects);
         None
     }
@@ -201,6 +217,12 @@
         self.alarm(until, Alarm::Unproved(id, attempt));
     }
 
+    /// Where an attempt is booked that has not left, and so never ran.
+    pub(super) fn unsent(&self, id: RequestId, attempt: AttemptNo) -> Option<MachineId> {
+        let trial = self.jobs.get(&id).and_then(|j| j.trial).filter(|t| t.attempt == attempt && !t.left);
+        trial.map(|t| t.machine)
+    }
+
     /// Takes a job's attempt out of the books.
     fn take_trial(&mut self, id: RequestId) -> Option<Trial> {
         let trial = self.jobs.get_mut(&id)?.trial.take()?;
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -79,6 +79,8 @@
             // Its process came up anew: what stood there before did not survive it.
             self.lose(now, machine, started, effects);
             self.prove_all_gone(machine);
+            // What waits in its queue was decided for a warm machine: all planners' queues at once may push a cold one over.
+            self.take_back_queued(now, machine, effects);
         }
         for machine in gone {
             self.machine_lost(now, machine, effects);
@@ -91,12 +93,14 @@
         self.forget_names();
         let drains = |(_, n): &(&MachineId, &Node)| n.entry.standing != Standing::Ready;
         let drains: Vec<MachineId> = self.nodes.iter().filter(drains).map(|(&id, _)| id).collect();
-        let unsent = |&machine: &MachineId| {
-            let jobs = self.tried(machine, |t| !t.left).into_iter();
-            jobs.map(move |job| (job, machine)).collect::<Vec<_>>()
-        };
-        let drained: Vec<(RequestId, MachineId)> = drains.iter().flat_map(unsent).collect();
-        for (job, machine) in drained {
+        for machine in drains {
+            self.take_back_queued(now, machine, effects);
+        }
+    }
+
+    /// What waits in a machine's queue is taken back and decided anew.
+    fn take_back_queued(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
+        for job in self.tried(machine, |t| !t.left) {
             effects.push(Effect::GiveUp { machine, job });
             self.trial_over(now, job, Outcome::Moot, Reason::Unknown, None, effects);
         }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -18,11 +18,20 @@
 }
 
 fn core_of(idempotency: &str, group: &str) -> Core {
+    core_with(idempotency, group, 6.0)
+}
+
+/// A core whose window for repeats lasts so long.
+fn core_within(idempotency: &str, window_s: Seconds) -> Core {
+    core_with(idempotency, "all", window_s)
+}
+
+fn core_with(idempotency: &str, group: &str, window_s: Seconds) -> Core {
     let boot = json!({"areas": ["z", "y"], "family_info": {"apart_by": ["silent"], "class_kind": [-1], "cold_bears": 70.0,
         "cores_multiple": 1.0, "free_by": "used", "mem_booking": 1.0, "memory_by_kind": [20.0],
         "prompt_start_s": [8.0], "says_yes": "running", "shows_free": true, "size_cores": [10], "spread_most": [2]},
         "grades": [{"name": "c", "deadline_s": 5.0, "group": group, "idempotency": idempotency, "importance": 1.0,
-        "on_time_s": 1.0, "repeat_window_s": 6.0}], "kinds": ["k"], "membership_mode": "push", "n_instances": 1,
+        "on_time_s": 1.0, "repeat_window_s": window_s}], "kinds": ["k"], "membership_mode": "push", "n_instances": 1,
         "permissions": {"max_attempts": 4}, "report": {"source": "silent"},
         "rules": {"ask_every_s": 10.0, "fall_s": 2.0, "warm_within_s": 16.0}, "tick_s": 0.002, "zone": "z"});
     let (settings, words) = vocabulary::settings(&boot).expect("settings");
@@ -475,6 +484,18 @@
     assert!(bench.end(first, 1, Outcome::Lost).is_empty(), "nor does it end what stands elsewhere");
 }
 
+impl Bench {
+    /// A machine of that name comes up, or comes up anew, at that time.
+    fn started(&mut self, n: u32, started: Seconds) -> Vec<Effect> {
+        let (machine, key) = (MachineId(n), MachineKey(u64::from(n)));
+        let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 9.0, memory: 18.0 });
+        let standing = Standing::Ready;
+        let entry = Entry { machine, key, zone, cell, kind: Some(0), standing, free, started };
+        let notices = vec![Notice { entry, address: format!("a:{n}") }];
+        self.tell(Input::List { kind: ListKind::Changes, notices })
+    }
+}
+
 fn taken_back(effects: &[Effect], job: u64) -> Option<MachineId> {
     let of = |e: &Effect| match e {
         Effect::GiveUp { machine, job: id } if id.0 == job => Some(*machine),
@@ -499,3 +520,55 @@
     assert!(taken_back(&ended, 2).is_some() && taken_back(&ended, 3).is_some());
     assert_eq!((bench.core.pending(), bench.core.standing_at(stands)), (0, 1));
 }
+
+/// Guards rule 2: a further attempt that still waits in a queue when the window for repeats ends is taken back at that
+/// time, and not sent after it.
+#[test]
+fn a_further_attempt_does_not_leave_after_its_window() {
+    let mut bench = Bench { core: core_within("by_key", 2.0), now: 100.0 };
+    bench.list(&[(0, Standing::Ready), (1, Standing::Ready)]);
+    let first = launched(&bench.submit(1, Some("k"))).expect("a launch");
+    bench.sent(1, 0);
+    bench.now = 101.0;
+    let again = launched(&bench.tell(Input::LinkBroken { machine: first })).expect("a further attempt");
+    assert_eq!(bench.core.next_alarm(), Some(102.0), "whoever writes looks at the time, and finds this due");
+    assert_eq!(taken_back(&bench.at(101.99), 1), None);
+    let ended = bench.at(102.0);
+    assert_eq!(taken_back(&ended, 1), Some(again));
+    assert_eq!((answers(&ended), launched(&ended)), (1, None), "it has its answer at once");
+    // What has left by then may be answered as long as its owner waits.
+    let mut bench = Bench { core: core_within("by_key", 2.0), now: 100.0 };
+    bench.list(&[(0, Standing::Ready), (1, Standing::Ready)]);
+    let first = launched(&bench.submit(1, Some("k"))).expect("a launch");
+    bench.sent(1, 0);
+    bench.now = 101.0;
+    let again = launched(&bench.tell(Input::LinkBroken { machine: first })).expect("a further attempt");
+    bench.sent(1, 1);
+    assert_eq!(taken_back(&bench.at(102.0), 1), None);
+    assert_eq!(answers(&bench.bound(again, 1)), 1);
+}
+
+/// Guards cold machines against planners' queues: what was decided for a warm machine and has not left is decided anew
+/// once it is known to have come up again.
+#[test]
+fn what_waits_for_a_machine_that_restarts_is_decided_anew() {
+    let mut bench = Bench { core: core("repeatable"), now: 100.0 };
+    bench.started(0, 10.0);
+    assert_eq!(launched(&bench.submit(1, None)), Some(MachineId(0)));
+    assert_eq!(taken_back(&bench.started(0, 99.5), 1), Some(MachineId(0)));
+}
+
+/// Guards cold machines against parts of two windows that leave at once: an attempt for a cold machine that cannot leave
+/// within the quarter of a window by which the module's are longer is taken back; one for a warm machine waits on.
+#[test]
+fn an_attempt_for_a_cold_machine_does_not_wait_past_its_part() {
+    for (started, waits) in [(10.0, true), (99.0, false)] {
+        let mut bench = Bench { core: core("repeatable"), now: 100.0 };
+        bench.started(0, started);
+        // The module sends a cold machine nothing in its own first window.
+        bench.now = 104.0;
+        assert_eq!(launched(&bench.submit(1, None)), Some(MachineId(0)));
+        assert_eq!(taken_back(&bench.at(104.49), 1), None);
+        assert_eq!(taken_back(&bench.at(104.5), 1).is_none(), waits, "up since {started}");
+    }
+}
