Keep the listed machines in a table with indexes, so that a notice costs what it changes

Seen: `Core::replace` looked through all machines for another at the address of each notice (a whole list: the square of the machines), `Core::list` walked all machines for those that drain at each change, `notice` went through all jobs for each machine that was new, and the machines that were replaced were looked for one by one among all notices.

Change: `MachineTable` (src/state/machine_table.rs) keeps entries and addresses to itself, and beside them the machines by address, those that are not ready, and the jobs that are said to stand where the list names no machine. Only insert, update and remove change an entry, so that no index can be passed by. Results are the same: the order of machines is that of the walks before.

Left: the module's own walks over all machines at each event of the list (placer/rules.rs), and one walk over the machines for each whole list, which names them all anyway.

--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -48,7 +48,7 @@
                 Alarm::Unlisted(job) => {
                     let machine =
                         self.jobs.get(&job).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
-                    if machine.is_some_and(|machine| !self.nodes.contains_key(&machine)) {
+                    if machine.is_some_and(|machine| !self.nodes.contains(machine)) {
                         self.standing_over(now, job, Outcome::Lost, Reason::Unknown, None, effects);
                     }
                 }
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -24,7 +24,7 @@
         let job = self.jobs.get_mut(&id)?;
         let attempt = job.attempts;
         job.attempts += 1;
-        let entry = self.nodes.get(&machine).map(|n| n.entry);
+        let entry = self.nodes.get(machine).map(Node::entry);
         let ready = entry.is_some_and(|e| e.standing == Standing::Ready);
         let spot = entry.map_or(Spot { machine, zone: ZoneId(0), cell: CellId(0) }, |e| e.spot());
         let limits = job.task.limits;
@@ -69,7 +69,7 @@
         let (left, asked, out_of_sight) = (false, None, false);
         job.trial = Some(Trial { attempt, machine, spot, at: now, left, fence, asked, out_of_sight });
         let spec = job.spec.clone();
-        if let Some(node) = self.nodes.get_mut(&machine) {
+        if let Some(node) = self.nodes.get_mut(machine) {
             node.trying.insert(id);
         }
         effects.push(Effect::Launch { machine, job: id, attempt, left_s: until - now, fence, spec });
@@ -100,9 +100,7 @@
         self.groups.starts.learn(now, service, now - trial.at);
         self.answered(now, id);
         self.lighten(id);
-        if let Some(node) = self.nodes.get_mut(&at) {
-            node.standing.insert(id);
-        }
+        self.nodes.stands(at, id);
         effects.push(Effect::Placed { owner, job: id, body });
         self.changed(id, ChangeKind::Modified, effects);
         let event = Event::Bound { request: id, attempt: trial.attempt, took_s: now - trial.at };
@@ -204,7 +202,7 @@
     /// Takes a job's attempt out of the books.
     fn take_trial(&mut self, id: RequestId) -> Option<Trial> {
         let trial = self.jobs.get_mut(&id)?.trial.take()?;
-        if let Some(node) = self.nodes.get_mut(&trial.machine) {
+        if let Some(node) = self.nodes.get_mut(trial.machine) {
             let booked = node.trying.remove(&id);
             debug_assert!(booked, "an attempt is booked where it is");
         }
@@ -213,7 +211,7 @@
 
     /// The jobs of which such an attempt is out or queued at a machine.
     pub(super) fn tried(&self, machine: MachineId, is: impl Fn(&Trial) -> bool) -> Vec<RequestId> {
-        let Some(node) = self.nodes.get(&machine) else { return vec![] };
+        let Some(node) = self.nodes.get(machine) else { return vec![] };
         let hit = |id: &RequestId| self.jobs.get(id).and_then(|j| j.trial.as_ref()).is_some_and(&is);
         node.trying.iter().copied().filter(hit).collect()
     }
--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -383,7 +383,7 @@
     /// Books that a copy of a job may be at a machine until that says otherwise; one of a member is cut again
     /// whenever its machine comes back.
     pub(super) fn unproved(&mut self, job: RequestId, machine: MachineId) {
-        if !self.nodes.contains_key(&machine) {
+        if !self.nodes.contains(machine) {
             return; // It has left the list: its process is gone.
         }
         self.ghosts.book(job, machine);
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -264,9 +264,7 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             (job.attempts, job.machine, job.placed_at) = (1, Some(machine), now);
         }
-        if let Some(node) = self.nodes.get_mut(&machine) {
-            node.standing.insert(id);
-        } else {
+        if !self.nodes.stands(machine, id) {
             // A machine that nobody knows will never tell of its end.
             self.alarm(now + UNLISTED_S, Alarm::Unlisted(id));
         }
@@ -364,8 +362,8 @@
             }
         }
         job.phase = phase;
-        if let Some(node) = job.machine.and_then(|m| self.nodes.get_mut(&m)) {
-            node.standing.remove(&id);
+        if let Some(machine) = job.machine {
+            self.nodes.stands_no_more(machine, id);
         }
         if self.keep.over == 0 {
             self.jobs.remove(&id);
--- /dev/null
+++ b/src/state/machine_table/tests.rs
@@ -0,0 +1,145 @@
+//! The indexes against plain searches, and what a notice of the list looks at.
+
+use super::*;
+use crate::state::tests::core;
+use proptest::prelude::*;
+
+/// A notice of machine `machine` at one of some addresses.
+fn notice(machine: u32, address: u32, standing: Standing, started: u32) -> Notice {
+    let (id, key) = (MachineId(machine), MachineKey(u64::from(machine)));
+    let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 9.0, memory: 18.0 });
+    let started = f64::from(started);
+    let entry = Entry { machine: id, key, zone, cell, kind: Some(0), standing, free, started };
+    Notice { entry, address: format!("a:{address}") }
+}
+
+fn list(core: &mut Core, kind: ListKind, notices: Vec<Notice>) {
+    core.apply(100.0, Input::List { kind, notices }, &mut Vec::new());
+}
+
+/// Hands in a task that is said to stand at a machine.
+fn adopt(core: &mut Core, job: u64, machine: u32) {
+    let room = Room { cores: 1.0, memory: 1.0 };
+    let (service, limits) = (ServiceId(1), TaskLimits::default());
+    let task = Task { class: 0, tenant: None, service, room, deadline: 100.0, life_s: None, limits };
+    let spec = Arc::new(Spec { class: "c".into(), ..Spec::default() });
+    let ask = Ask { job: RequestId(job), owner: Owner::Link(1), spec, task };
+    core.apply(100.0, Input::Adopt { ask, machine: MachineId(machine) }, &mut Vec::new());
+}
+
+/// [`Core::replace`] as it was before there were indexes: a search of all machines for each notice.
+fn replace_by_search(core: &Core, notices: &mut Vec<Notice>) {
+    let nodes: Vec<&Node> = core.nodes.nodes.values().collect();
+    let mut replaced = Vec::new();
+    for notice in notices.iter_mut().filter(|n| n.entry.standing != Standing::Gone) {
+        let same = |n: &&&Node| n.entry.machine != notice.entry.machine && n.address == notice.address;
+        let Some(other) = nodes.iter().find(same) else { continue };
+        if other.entry.started > notice.entry.started {
+            notice.entry.standing = Standing::Gone;
+        } else if notice.entry.standing == Standing::Ready {
+            let entry = Entry { standing: Standing::Gone, ..other.entry };
+            replaced.push(Notice { entry, address: other.address.clone() });
+        }
+    }
+    notices.retain(|n| !replaced.iter().any(|g| g.entry.machine == n.entry.machine));
+    notices.splice(0..0, replaced);
+}
+
+/// Each index tells what a search of all machines and all jobs does.
+fn check(core: &Core) {
+    let table = &core.nodes;
+    let searched: Vec<MachineId> = table
+        .nodes
+        .values()
+        .filter(|n| n.entry.standing != Standing::Ready)
+        .map(|n| n.entry.machine)
+        .collect();
+    assert_eq!(table.not_ready(), searched);
+    for address in (0..5).map(|n| format!("a:{n}")) {
+        for than in (0..8).map(MachineId) {
+            let searched = table.nodes.values().find(|n| n.entry.machine != than && n.address == address);
+            let found = table.other_at(&address, than);
+            assert_eq!(found.map(|n| n.entry.machine), searched.map(|n| n.entry.machine));
+        }
+    }
+    for (&machine, node) in &table.nodes {
+        let held = |j: &Job| j.machine == Some(machine) && !j.phase.is_over();
+        let searched: BTreeSet<RequestId> =
+            core.jobs.iter().filter(|(_, j)| held(j)).map(|(&id, _)| id).collect();
+        assert_eq!(node.standing, searched);
+    }
+}
+
+/// One step of a drawn day.
+#[derive(Clone, Debug)]
+enum Act {
+    List(ListKind, Vec<Notice>),
+    Adopt(u64, u32),
+    Cancel(u64),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    let standing =
+        prop_oneof![3 => Just(Standing::Ready), 1 => Just(Standing::Draining), 1 => Just(Standing::Gone)];
+    let one = (0u32..8, 0u32..5, standing, 0u32..3).prop_map(|(m, a, s, t)| notice(m, a, s, t));
+    let kind = prop_oneof![3 => Just(ListKind::Changes), 1 => Just(ListKind::Whole)];
+    let lists = (kind, proptest::collection::vec(one, 0..6)).prop_map(|(kind, list)| Act::List(kind, list));
+    let adopts = (1u64..6, 0u32..8).prop_map(|(job, machine)| Act::Adopt(job, machine));
+    prop_oneof![3 => lists, 2 => adopts, 1 => (1u64..6).prop_map(Act::Cancel)]
+}
+
+proptest! {
+    #[test]
+    fn the_indexes_tell_what_a_plain_search_does(acts in proptest::collection::vec(act(), 0..40)) {
+        let mut core = core("repeatable");
+        for act in acts {
+            match act {
+                Act::List(kind, notices) => {
+                    let (mut found, mut searched) = (notices.clone(), notices.clone());
+                    replace_by_search(&core, &mut searched);
+                    core.replace(&mut found);
+                    prop_assert_eq!(format!("{found:?}"), format!("{searched:?}"));
+                    list(&mut core, kind, notices);
+                }
+                Act::Adopt(job, machine) => adopt(&mut core, job, machine),
+                Act::Cancel(job) => {
+                    let cancel = Input::Cancel { job: RequestId(job), cause: 0 };
+                    core.apply(100.0, cancel, &mut Vec::new());
+                }
+            }
+            check(&core);
+        }
+    }
+}
+
+/// Guards tasks that are told of before their machine is.
+#[test]
+fn a_task_of_an_unlisted_machine_is_found_once_it_is_listed() {
+    let mut core = core("repeatable");
+    adopt(&mut core, 1, 7);
+    adopt(&mut core, 2, 7);
+    core.apply(100.0, Input::Cancel { job: RequestId(2), cause: 0 }, &mut Vec::new());
+    list(&mut core, ListKind::Changes, vec![notice(7, 0, Standing::Ready, 0)]);
+    assert_eq!(core.standing_at(MachineId(7)), 1);
+    assert_eq!(core.one_at(MachineId(7)), Some(RequestId(1)));
+    assert!(core.nodes.unlisted.is_empty(), "nothing is kept for a machine that is listed");
+}
+
+/// Guards a planner of many machines: what a notice costs does not grow with their number, nor does what a list of
+/// all costs grow faster than it.
+#[test]
+fn a_notice_looks_at_no_machine_that_it_does_not_concern() {
+    let all = |count: u32| (0..count).map(|n| notice(n, n, Standing::Ready, 0)).collect::<Vec<_>>();
+    for count in [10, 1000] {
+        let mut core = core("repeatable");
+        list(&mut core, ListKind::Whole, all(count));
+        assert_eq!(core.nodes.looked_at.get(), 0, "the first list finds no machine");
+        list(&mut core, ListKind::Whole, all(count));
+        assert_eq!(core.nodes.looked_at.get(), 2 * u64::from(count), "each by its name and by its address");
+        let before = core.nodes.looked_at.get();
+        list(&mut core, ListKind::Changes, vec![notice(3, 3, Standing::Draining, 0)]);
+        list(&mut core, ListKind::Changes, vec![notice(4, 4, Standing::Ready, 1)]);
+        // Itself at its address, twice, and the one that drains, after each of both.
+        assert_eq!(core.nodes.looked_at.get() - before, 4, "{count} machines");
+    }
+}
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -1,6 +1,5 @@
 //! The machines: what the list says of them, and what follows where one is lost.
 
-use super::jobs::Spot;
 use super::*;
 use crate::decide::silence::LOST_S;
 
@@ -9,42 +8,17 @@
 const DRAIN_KEEPS_S: Seconds = 3.0;
 /// Count. Names kept of machines that are no more, before they are gone through.
 const OLD_NAMES: usize = 64;
-impl Entry {
-    /// Where it lies.
-    pub(super) fn spot(&self) -> Spot {
-        Spot { machine: self.machine, zone: self.zone, cell: self.cell }
-    }
-}
 
 /// The cause by which a machine is told to cut a task that counts as lost.
 pub(super) const CUT: u8 = 41;
 
-#[derive(Clone, Debug)]
-pub(super) struct Node {
-    pub entry: Entry,
-    pub address: String,
-    pub standing: BTreeSet<RequestId>,
-    /// Jobs of which an attempt is out or queued there.
-    pub trying: BTreeSet<RequestId>,
-    /// Since when it refuses connections while it drains.
-    pub refuses_since: Option<Seconds>,
-    pub version: u64,
-}
-
-impl Node {
-    fn new(entry: Entry, address: String, standing: BTreeSet<RequestId>) -> Node {
-        let trying = BTreeSet::new();
-        Node { entry, address, standing, trying, refuses_since: None, version: 0 }
-    }
-}
-
 impl Core {
     /// Gives a machine a new version, which watchers see.
     pub(super) fn machine_changed(&mut self, id: MachineId, kind: ChangeKind, effects: &mut Vec<Effect>) {
         let version = self.history.next_version();
-        let Some(node) = self.nodes.get_mut(&id) else { return };
+        let Some(node) = self.nodes.get_mut(id) else { return };
         node.version = version;
-        if let Some(node) = self.nodes.get(&id).filter(|_| self.keep.history > 0) {
+        if let Some(node) = self.nodes.get(id).filter(|_| self.keep.history > 0) {
             let object = Object::Machine(Arc::new(self.machine_view(id, node)));
             self.history.push(kind, object);
             effects.push(Effect::Changed);
@@ -61,11 +35,7 @@
         if matches!(kind, ListKind::Whole | ListKind::Persisted) {
             let named: BTreeSet<MachineId> = notices.iter().map(|n| n.entry.machine).collect();
             let missing = self.nodes.iter().filter(|(id, _)| !named.contains(id));
-            let gone = |n: &Node| Notice {
-                entry: Entry { standing: Standing::Gone, ..n.entry },
-                address: n.address.clone(),
-            };
-            notices.extend(missing.map(|(_, n)| gone(n)).collect::<Vec<_>>());
+            notices.extend(missing.map(|(_, node)| gone(node)));
         }
         self.replace(&mut notices);
         let restarted: Vec<(MachineId, Seconds)> =
@@ -84,13 +54,12 @@
             self.machine_lost(now, machine, effects);
             self.prove_all_gone(machine);
             self.machine_changed(machine, ChangeKind::Deleted, effects);
-            if self.nodes.remove(&machine).is_some() {
+            if self.nodes.remove(machine).is_some() {
                 effects.push(Effect::Disconnect { machine });
             }
         }
         self.forget_names();
-        let drains = |(_, n): &(&MachineId, &Node)| n.entry.standing != Standing::Ready;
-        let drains: Vec<MachineId> = self.nodes.iter().filter(drains).map(|(&id, _)| id).collect();
+        let drains = self.nodes.not_ready();
         let unsent = |&machine: &MachineId| {
             let jobs = self.tried(machine, |t| !t.left).into_iter();
             jobs.map(move |job| (job, machine)).collect::<Vec<_>>()
@@ -105,27 +74,25 @@
     /// Where a machine is told of at the address of another, the one that started later has it. The other is gone,
     /// though the list does not say so yet: what is sent to it would reach its successor.
     pub(super) fn replace(&self, notices: &mut Vec<Notice>) {
-        let mut gone = Vec::new();
+        let mut replaced = Vec::new();
         for notice in notices.iter_mut().filter(|n| n.entry.standing != Standing::Gone) {
-            let same =
-                |(id, n): &(&MachineId, &Node)| **id != notice.entry.machine && n.address == notice.address;
-            let Some((_, other)) = self.nodes.iter().find(same) else { continue };
-            if other.entry.started > notice.entry.started {
+            let Some(other) = self.nodes.other_at(&notice.address, notice.entry.machine) else { continue };
+            if other.entry().started > notice.entry.started {
                 notice.entry.standing = Standing::Gone;
             } else if notice.entry.standing == Standing::Ready {
-                let entry = Entry { standing: Standing::Gone, ..other.entry };
-                gone.push(Notice { entry, address: other.address.clone() });
+                replaced.push(gone(other));
             }
         }
-        notices.retain(|n| !gone.iter().any(|g| g.entry.machine == n.entry.machine));
-        notices.splice(0..0, gone);
+        let names: BTreeSet<MachineId> = replaced.iter().map(|n| n.entry.machine).collect();
+        notices.retain(|n| !names.contains(&n.entry.machine));
+        notices.splice(0..0, replaced);
     }
 
     /// Forgets the names of machines that nothing refers to any more.
     pub(super) fn forget_names(&mut self) {
         if self.words.machines() > 2 * self.nodes.len() + OLD_NAMES {
             let of_jobs = self.jobs.values().filter_map(|j| j.machine);
-            let used: BTreeSet<MachineId> = self.nodes.keys().copied().chain(of_jobs).collect();
+            let used: BTreeSet<MachineId> = self.nodes.iter().map(|(id, _)| id).chain(of_jobs).collect();
             self.words.keep_machines(|id| used.contains(&id));
         }
     }
@@ -137,26 +104,24 @@
         effects: &mut Vec<Effect>,
     ) -> Option<(MachineId, Seconds)> {
         let (entry, id) = (notice.entry, notice.entry.machine);
-        let Some(node) = self.nodes.get_mut(&id) else {
+        let Some(node) = self.nodes.get_mut(id) else {
             if entry.standing != Standing::Gone {
-                let held = |j: &Job| j.machine == Some(id) && !j.phase.is_over();
-                let standing = self.jobs.iter().filter(|(_, j)| held(j)).map(|(&job, _)| job).collect();
                 let address = notice.address.clone();
                 effects.push(Effect::Connect { machine: id, address: address.clone() });
-                self.nodes.insert(id, Node::new(entry, address, standing));
+                self.nodes.insert(entry, address);
                 self.machine_changed(id, ChangeKind::Added, effects);
             }
             return None;
         };
-        let restarted = entry.started > node.entry.started;
-        let moved = node.address != notice.address;
-        (node.entry, node.address) = (entry, notice.address.clone());
-        if entry.standing == Standing::Gone {
-            return None;
-        }
+        let restarted = entry.started > node.entry().started;
+        let moved = node.address() != notice.address;
         if entry.standing == Standing::Ready {
             node.refuses_since = None;
         }
+        self.nodes.update(entry, &notice.address);
+        if entry.standing == Standing::Gone {
+            return None;
+        }
         if moved {
             effects.push(Effect::Connect { machine: id, address: notice.address.clone() });
         }
@@ -172,7 +137,7 @@
         before: Seconds,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(node) = self.nodes.get(&machine) else { return };
+        let Some(node) = self.nodes.get(machine) else { return };
         let old = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.placed_at < before);
         let lost: Vec<RequestId> = node.standing.iter().copied().filter(old).collect();
         for job in lost {
@@ -192,7 +157,7 @@
         quiet_s: Seconds,
         effects: &mut Vec<Effect>,
     ) {
-        let drains = self.nodes.get_mut(&machine).filter(|n| n.entry.standing == Standing::Draining);
+        let drains = self.nodes.get_mut(machine).filter(|n| n.entry().standing == Standing::Draining);
         let since = drains.map(|node| *node.refuses_since.get_or_insert(now));
         if since.is_some_and(|since| now < since + DRAIN_KEEPS_S) && quiet_s < LOST_S {
             return self.break_trials(now, machine, false, Reason::Unknown, effects);
@@ -207,3 +172,8 @@
         self.break_trials(now, machine, true, Reason::Unknown, effects);
     }
 }
+
+/// The notice that a machine is gone.
+fn gone(node: &Node) -> Notice {
+    Notice { entry: Entry { standing: Standing::Gone, ..node.entry() }, address: node.address().to_string() }
+}
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -12,6 +12,7 @@
 mod history;
 mod jobs;
 mod limits;
+mod machine_table;
 mod machines;
 mod views;
 mod words;
@@ -24,7 +25,7 @@
 pub use history::{Change, ChangeKind, History, Resume};
 use jobs::{Job, Trial};
 use limits::InForce;
-use machines::Node;
+use machine_table::{MachineTable, Node};
 pub use views::{JobView, MachineView, Object};
 pub use words::{Ask, Effect, GroupAsk, GroupId, Input, Keep, Notice, Owed, Owner, Phase, Refusal, Spec};
 
@@ -52,7 +53,7 @@
     settings: Settings,
     words: Vocabulary,
     jobs: BTreeMap<RequestId, Job>,
-    nodes: BTreeMap<MachineId, Node>,
+    nodes: MachineTable,
     keys: BTreeMap<(String, String), RequestId>,
     /// The jobs that are not over, by the connection that they came on.
     links: BTreeMap<u64, LinkJobs>,
@@ -85,7 +86,7 @@
             settings,
             words,
             jobs: BTreeMap::new(),
-            nodes: BTreeMap::new(),
+            nodes: MachineTable::default(),
             keys: BTreeMap::new(),
             links: BTreeMap::new(),
             alarms: BinaryHeap::new(),
@@ -124,7 +125,7 @@
 
     /// A task that stands at a machine.
     pub fn one_at(&self, machine: MachineId) -> Option<RequestId> {
-        self.nodes.get(&machine).and_then(|n| n.standing.first().copied())
+        self.nodes.get(machine).and_then(|n| n.standing.first().copied())
     }
 
     /// The settings.
@@ -151,7 +152,7 @@
 
     /// Tasks that stand at a machine.
     pub fn standing_at(&self, machine: MachineId) -> usize {
-        self.nodes.get(&machine).map_or(0, |n| n.standing.len())
+        self.nodes.get(machine).map_or(0, |n| n.standing.len())
     }
 
     /// A job that is known still.
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -432,7 +432,7 @@
         let job = bench.core.jobs.get_mut(&RequestId(1)).expect("a job");
         let trial = job.trial.take().expect("an attempt");
         job.may_have_run(&trial);
-        bench.core.nodes.get_mut(&MachineId(0)).expect("a machine").trying.clear();
+        bench.core.nodes.get_mut(MachineId(0)).expect("a machine").trying.clear();
         bench.list(&[(0, Standing::Gone)]);
         // The module hears nothing of these: what is asked is what the guard says by itself.
         for (n, allowed) in (1..).zip(allowed) {
--- a/src/state/views.rs
+++ b/src/state/views.rs
@@ -54,7 +54,7 @@
 
     /// Every machine, as it can be looked at.
     pub fn machine_views(&self) -> Vec<MachineView> {
-        self.nodes.iter().map(|(&id, node)| self.machine_view(id, node)).collect()
+        self.nodes.iter().map(|(id, node)| self.machine_view(id, node)).collect()
     }
 
     pub(super) fn job_view(&self, id: RequestId, job: &Job) -> JobView {
@@ -74,13 +74,14 @@
     }
 
     pub(super) fn machine_view(&self, id: MachineId, node: &Node) -> MachineView {
+        let entry = node.entry();
         MachineView {
             name: self.words.name(id),
-            zone: self.words.zone_name(node.entry.zone),
-            cell: node.entry.cell,
-            standing: node.entry.standing,
-            free: node.entry.free,
-            started: node.entry.started,
+            zone: self.words.zone_name(entry.zone),
+            cell: entry.cell,
+            standing: entry.standing,
+            free: entry.free,
+            started: entry.started,
             version: node.version,
         }
     }
