Look at a machine's connection only where a look may find something

Need: at rest a planner's time grows with its machines. What it is spent on, by reading every timer that runs while no ask comes: each connection's look, four a second (18,000 machines: 72,000 wake-ups a second, each with five takings of the lock); the list's beat, one a second; no alarm of the core (the module asks for a timer only while it holds a task back) and no test (only a task pays for one). Ruled out: alarms, tests, the list, bytes on the sockets.

A look finds something only where a test is late, a line lies half read, tasks stand at the machine (the silence watch), or another machine waits for a place. `decide/silence/looks` decides when the next look comes from when that is due first; the grid of looks, its drawn phase and its shift by a late look stay, and those at which nothing can be due are left out. Each thing that may begin wakes its connection: a test by its line; the first task that stands by the new `Effect::Watch`, as it may be taken over from its client or told on a connection whose place another took; the first machine that waits for a place wakes all that hold one, by a wake of its own that does not count as use; a half line is read by the connection's own task.

Idle machines were never watched for silence (`Watch::look` did nothing where no task stands): a dead one shows, as before, by its end of the connection or by its next attempt.

--- a/src/decide/silence/mod.rs
+++ b/src/decide/silence/mod.rs
@@ -14,6 +14,8 @@
 //!   each test on it is answered: what stands there is told lost [`LOST_S`] after it was last seen to take connections
 //!   or told of a task (`a_drain_that_tells_of_no_end_is_not_waited_for`).
 
+pub mod looks;
+
 use crate::placer::Seconds;
 
 /// Seconds. The end of what stood, untold, is to reach its owner within 8 s; the last dial and a look come after this.
@@ -133,6 +135,13 @@
         Step::Dial
     }
 
+    /// From when on a look may find something, as long as tasks stand there and nothing comes.
+    pub fn due(&self) -> Seconds {
+        let dial = self.dial_at.max(self.word + LOOK_S);
+        let end = if self.refused { self.signs.told + LOST_S } else { self.word + MUTE_S };
+        dial.min(end)
+    }
+
     /// A dial ended; `out` where an attempt is open on the connection, which closing it would give up.
     pub fn dialled(&mut self, now: Seconds, dial: Dial, out: bool) -> Step {
         match dial {
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -100,7 +100,9 @@
         self.groups.starts.learn(now, service, now - trial.at);
         self.answered(now, id);
         self.lighten(id);
-        self.nodes.stands(at, id);
+        if self.nodes.stands(at, id) == Stands::First {
+            effects.push(Effect::Watch { machine: at });
+        }
         effects.push(Effect::Placed { owner, job: id, body });
         self.changed(id, ChangeKind::Modified, effects);
         let event = Event::Bound { request: id, attempt: trial.attempt, took_s: now - trial.at };
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -264,9 +264,11 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             (job.attempts, job.machine, job.placed_at) = (1, Some(machine), now);
         }
-        if !self.nodes.stands(machine, id) {
+        match self.nodes.stands(machine, id) {
+            Stands::First => effects.push(Effect::Watch { machine }),
+            Stands::BesideOthers => {}
             // A machine that nobody knows will never tell of its end.
-            self.alarm(now + UNLISTED_S, Alarm::Unlisted(id));
+            Stands::Unlisted => self.alarm(now + UNLISTED_S, Alarm::Unlisted(id)),
         }
         self.changed(id, ChangeKind::Added, effects);
         self.feed(now, Event::Resident { request: id, task, machine }, effects);
--- a/src/state/machine_table.rs
+++ b/src/state/machine_table.rs
@@ -47,6 +47,17 @@
     }
 }
 
+/// Beside what a job stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Stands {
+    /// Nothing stood at its machine.
+    First,
+    /// Others stand at its machine.
+    BesideOthers,
+    /// The list has not named its machine.
+    Unlisted,
+}
+
 /// All machines that the list names.
 #[derive(Default)]
 pub(super) struct MachineTable {
@@ -125,13 +136,18 @@
         Some(node)
     }
 
-    /// Books a job that stands at a machine; tells whether the list names that machine.
-    pub fn stands(&mut self, machine: MachineId, job: RequestId) -> bool {
-        let node = self.nodes.get_mut(&machine);
-        let listed = node.is_some();
-        let at = node.map_or_else(|| self.unlisted.entry(machine).or_default(), |node| &mut node.standing);
-        at.insert(job);
-        listed
+    /// Books a job that stands at a machine.
+    pub fn stands(&mut self, machine: MachineId, job: RequestId) -> Stands {
+        let Some(node) = self.nodes.get_mut(&machine) else {
+            self.unlisted.entry(machine).or_default().insert(job);
+            return Stands::Unlisted;
+        };
+        node.standing.insert(job);
+        if node.standing.len() == 1 {
+            Stands::First
+        } else {
+            Stands::BesideOthers
+        }
     }
 
     /// A job stands at a machine no more.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -25,7 +25,7 @@
 pub use history::{Change, ChangeKind, History, Resume};
 use jobs::{Job, Trial};
 use limits::InForce;
-use machine_table::{MachineTable, Node};
+use machine_table::{MachineTable, Node, Stands};
 pub use views::{JobView, MachineView, Object};
 pub use words::{Ask, Effect, GroupAsk, GroupId, Input, Keep, Notice, Owed, Owner, Phase, Refusal, Spec};
 
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -182,6 +182,8 @@
     Probe { machine: MachineId },
     /// Hold a connection to the machine, which listens there.
     Connect { machine: MachineId, address: String },
+    /// Tasks stand at a machine where none stood: its silence is watched from now on.
+    Watch { machine: MachineId },
     /// The machine is gone; nothing more goes to it.
     Disconnect { machine: MachineId },
     /// Final answer: the task stands.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -26,7 +26,6 @@
 use std::io;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 use tokio::sync::{mpsc, watch, Notify};
 
 /// What the limits leave to connections.
@@ -217,7 +216,7 @@
             Effect::Probe { machine } => {
                 let Some(link) = self.nodes.get_mut(&machine) else { return };
                 link.probes += 1;
-                link.probe = Some(Instant::now());
+                link.probe = Some(now);
                 let line = node::check(link.probes);
                 self.write_node(machine, line, Tag::Plain);
             }
@@ -225,6 +224,7 @@
                 self.write_node(machine, node::check(node::PROOF | ask), Tag::Plain);
             }
             Effect::Connect { machine, address } => self.connect(machine, address),
+            Effect::Watch { machine } => self.look_anew(machine),
             Effect::Disconnect { machine } => {
                 self.silent.remove(&machine);
                 self.yield_place(now, machine);
--- a/src/wire/hub/machine_connections.rs
+++ b/src/wire/hub/machine_connections.rs
@@ -2,13 +2,13 @@
 
 use super::Inner;
 use crate::decide::links::Need;
+use crate::decide::silence::looks::Open;
 use crate::placer::{MachineId, Seconds};
 use crate::state::Core;
 use crate::wire::outbox::{Outbox, Tag};
 use crate::wire::platform::node;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Instant;
 use tokio::sync::Notify;
 
 /// A machine's connection, as seen from the hub.
@@ -18,7 +18,10 @@
     pub address: String,
     pub outbox: Outbox,
     pub wake: Arc<Notify>,
-    pub probe: Option<Instant>,
+    /// Something began for which the connection is looked at. Unlike `wake` it tells of no use of the connection.
+    pub look: Arc<Notify>,
+    /// Since when a test is out.
+    pub probe: Option<Seconds>,
     pub(super) probes: u64,
 }
 
@@ -41,6 +44,7 @@
             address,
             outbox: Outbox::new(self.bounds.box_queue),
             wake: Arc::new(Notify::new()),
+            look: Arc::new(Notify::new()),
             probe: None,
             probes: 0,
         };
@@ -51,13 +55,41 @@
 
     /// Takes a place for the connection to a box, or has it wait for one; the box's task is woken once it has it.
     pub fn want_place(&mut self, now: Seconds, machine: MachineId, need: Need) -> bool {
+        let was_short = self.places.is_short();
         let had = self.places.want(now, machine, need);
+        if !was_short && self.places.is_short() {
+            self.look_for_places();
+        }
         if !had {
             self.press(now);
         }
         had
     }
 
+    /// Has all connections look for places as long as a machine waits for one: one that is of no use later is given
+    /// back then.
+    fn look_for_places(&self) {
+        let held = |machine: &MachineId| self.places.is_held(*machine);
+        self.nodes.iter().filter(|(machine, _)| held(machine)).for_each(|(_, link)| link.look.notify_one());
+    }
+
+    /// Has a machine's connection plan its next look anew.
+    pub(super) fn look_anew(&self, machine: MachineId) {
+        if let Some(link) = self.nodes.get(&machine) {
+            link.look.notify_one();
+        }
+    }
+
+    /// What of a connection the hub knows that may call for a look.
+    pub fn open_on(&self, machine: MachineId, half_line_since: Option<Seconds>) -> Open {
+        Open {
+            test_since: self.nodes.get(&machine).and_then(|l| l.probe),
+            half_line_since,
+            holds_tasks: self.core.standing_at(machine) > 0,
+            is_short: self.places.is_short(),
+        }
+    }
+
     /// Has connections of least use given back, as long as others wait for their places.
     pub fn press(&mut self, now: Seconds) {
         let Inner { places, nodes, core, .. } = self;
@@ -121,3 +153,6 @@
         link.wake.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/wire/hub/machine_connections/tests.rs
@@ -0,0 +1,127 @@
+//! What wakes a machine's connection for a look: each thing that a look may find, when it begins, and nothing else.
+
+use super::*;
+use crate::placer::*;
+use crate::state::tests::core;
+use crate::state::{Ask, Effect, Input, Notice, Owner, Spec};
+use crate::wire::hub::{Bounds, Hub};
+
+/// A hub with machines at so many places, each with a connection that is wanted.
+fn hub(machines: u32, places: usize) -> Arc<Hub> {
+    let bounds = Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: places };
+    let (hub, _wanted) = Hub::new(core("repeatable"), bounds);
+    let notice = |n: u32| {
+        let (machine, key) = (MachineId(n), MachineKey(u64::from(n)));
+        let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 9.0, memory: 18.0 });
+        let (kind, standing) = (Some(0), Standing::Ready);
+        let entry = Entry { machine, key, zone, cell, kind, standing, free, started: 0.0 };
+        Notice { entry, address: format!("a:{n}") }
+    };
+    for n in 0..machines {
+        assert_eq!(hub.lock().core.words().machine(&format!("m-{n}")), MachineId(n));
+    }
+    hub.apply(Input::List { kind: ListKind::Changes, notices: (0..machines).map(notice).collect() });
+    hub
+}
+
+/// A task for the class of the tests' settings.
+fn ask(hub: &Hub, job: u64) -> Ask {
+    let room = Room { cores: 1.0, memory: 1.0 };
+    let (service, deadline, limits) = (ServiceId(1), hub.now() + 5.0, TaskLimits::default());
+    let task = Task { class: 0, tenant: None, service, room, deadline, life_s: None, limits };
+    let spec = Arc::new(Spec { class: "c".into(), body: "x".into(), ..Spec::default() });
+    Ask { job: RequestId(job), owner: Owner::Link(1), spec, task }
+}
+
+/// Whether a task would be woken; it is woken once by that.
+async fn is_woken(notify: &Notify) -> bool {
+    tokio::select! {
+        biased;
+        () = notify.notified() => true,
+        () = std::future::ready(()) => false,
+    }
+}
+
+/// Whether a connection is woken to write, and whether for a look alone.
+async fn wakes(hub: &Hub, machine: MachineId) -> (bool, bool) {
+    let (write, look) = {
+        let inner = hub.lock();
+        let link = &inner.nodes[&machine];
+        (link.wake.clone(), link.look.clone())
+    };
+    (is_woken(&write).await, is_woken(&look).await)
+}
+
+const NOTHING: (bool, bool) = (false, false);
+const TO_WRITE: (bool, bool) = (true, false);
+const FOR_A_LOOK: (bool, bool) = (false, true);
+
+#[tokio::test]
+async fn nothing_calls_for_a_look_at_an_idle_connection() {
+    let hub = hub(2, 2);
+    assert_eq!(hub.lock().open_on(MachineId(0), None), Open::default());
+    assert_eq!(wakes(&hub, MachineId(0)).await, NOTHING);
+}
+
+#[tokio::test]
+async fn a_test_that_goes_out_wakes_its_connection() {
+    let (hub, now) = (hub(2, 2), 100.0);
+    hub.lock().carry_out(now, Effect::Probe { machine: MachineId(0) });
+    assert_eq!(hub.lock().open_on(MachineId(0), None), Open { test_since: Some(now), ..Open::default() });
+    assert_eq!((wakes(&hub, MachineId(0)).await, wakes(&hub, MachineId(1)).await), (TO_WRITE, NOTHING));
+}
+
+/// A task may be said to stand by its client, on another connection than its machine's.
+#[tokio::test]
+async fn the_first_task_that_is_taken_over_wakes_its_machines_connection() {
+    let hub = hub(2, 2);
+    let machine = MachineId(0);
+    for (job, woken) in [(1, FOR_A_LOOK), (2, NOTHING)] {
+        let ask = ask(&hub, job);
+        hub.apply(Input::Adopt { ask, machine });
+        assert!(hub.lock().open_on(machine, None).holds_tasks);
+        assert_eq!((wakes(&hub, machine).await, wakes(&hub, MachineId(1)).await), (woken, NOTHING));
+    }
+    for job in [1, 2] {
+        hub.apply(Input::Cancel { job: RequestId(job), cause: 0 });
+    }
+    assert!(!hub.lock().open_on(machine, None).holds_tasks);
+    wakes(&hub, machine).await;
+    let ask = ask(&hub, 3);
+    hub.apply(Input::Adopt { ask, machine });
+    assert_eq!(wakes(&hub, machine).await, FOR_A_LOOK, "the first again");
+}
+
+/// A machine may say so on a connection whose place another took.
+#[tokio::test]
+async fn the_first_task_that_is_placed_wakes_its_machines_connection() {
+    let hub = hub(1, 1);
+    let (machine, job) = (MachineId(0), RequestId(1));
+    let ask = ask(&hub, job.0);
+    hub.apply(Input::Submit(ask));
+    assert_eq!(wakes(&hub, machine).await, TO_WRITE);
+    hub.apply(Input::Sent { job, attempt: 0 });
+    assert!(!hub.lock().open_on(machine, None).holds_tasks);
+    hub.apply(Input::Bound { machine, job, body: String::new() });
+    assert!(hub.lock().open_on(machine, None).holds_tasks);
+    assert_eq!(wakes(&hub, machine).await, FOR_A_LOOK);
+}
+
+/// The one that is of no use yet may be so later: all that hold a place look for that, and none counts as used by it.
+#[tokio::test]
+async fn the_first_machine_that_waits_for_a_place_wakes_all_that_hold_one() {
+    let (hub, now) = (hub(4, 2), 100.0);
+    let [first, second, third, fourth] = [0, 1, 2, 3].map(MachineId);
+    assert!(hub.lock().want_place(now, first, Need::Spare));
+    assert!(hub.lock().want_place(now, second, Need::Spare));
+    assert!(!hub.lock().want_place(now, third, Need::Spare), "nobody waits for what is of no use");
+    assert_eq!(wakes(&hub, first).await, NOTHING);
+    for woken in [FOR_A_LOOK, NOTHING] {
+        assert!(!hub.lock().want_place(now, third, Need::Now));
+        assert!(hub.lock().open_on(first, None).is_short);
+        for machine in [first, second] {
+            assert_eq!(wakes(&hub, machine).await, woken);
+        }
+        assert_eq!((wakes(&hub, third).await, wakes(&hub, fourth).await), (NOTHING, NOTHING));
+    }
+}
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -2,6 +2,7 @@
 
 use super::node::{self, take_line, Says, PROOF};
 use crate::decide::links::{Need, VISIT_S};
+use crate::decide::silence::looks::{Looks, LOOK_EVERY_S};
 use crate::decide::silence::{is_lost, Dial, Signs, Step, Watch};
 use crate::decide::spread::Draws;
 use crate::placer::*;
@@ -9,6 +10,7 @@
 use crate::wire::hub::{seconds, Hub};
 use bytes::{Buf, BytesMut};
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::io::Interest;
@@ -18,14 +20,8 @@
 
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
-/// Time between looks at a connection's health.
-const LOOK: Duration = Duration::from_millis(250);
 /// What a box still says on a connection whose place another took is heard for so long at most.
 const HEAR_OUT: Duration = Duration::from_millis(2000);
-/// A probe that is not answered by then has failed.
-const PROBE: Duration = Duration::from_millis(1000);
-/// A line that is not whole so long after its last byte never will be.
-const HALF: Duration = Duration::from_millis(500);
 /// A connection that ends so soon after it came up is not dialled anew at once.
 const SHORT: Duration = Duration::from_millis(50);
 /// Waits between dials: the first, and the longest.
@@ -100,6 +96,14 @@
     GivenBack,
 }
 
+/// What wakes the task of a connection.
+struct Wakes {
+    /// Something waits to be written, or the connection is to end.
+    write: Arc<Notify>,
+    /// Something began for which the connection is looked at.
+    look: Arc<Notify>,
+}
+
 #[derive(Clone)]
 struct Link {
     hub: Arc<Hub>,
@@ -110,10 +114,10 @@
 
 impl Link {
     /// Where the machine listens, until it leaves the list.
-    fn address(&self) -> Option<(String, Arc<Notify>)> {
+    fn address(&self) -> Option<(String, Wakes)> {
         let inner = self.hub.lock();
         let link = inner.nodes.get(&self.machine).filter(|l| l.life == self.life);
-        link.map(|l| (l.address.clone(), l.wake.clone()))
+        link.map(|l| (l.address.clone(), Wakes { write: l.wake.clone(), look: l.look.clone() }))
     }
 
     async fn dial(&self, address: &str) -> Dialled {
@@ -152,13 +156,14 @@
         let mut draws = Draws::new(self.hub.seed(), self.life);
         let (mut wait, mut signs, mut reset) = (AGAIN.0, Signs::new(self.hub.now()), false);
         let mut swapped = None;
-        if let Some((_, wake)) = self.address() {
+        if let Some((_, wakes)) = self.address() {
             // A set-up that waits does not wait for this.
-            woken_within(&wake, draws.part(FIRST)).await;
+            woken_within(&wakes.write, draws.part(FIRST)).await;
         }
         let mut given_back = None;
-        while let Some((address, wake)) = self.address() {
-            if !self.has_place(&wake, &mut draws, given_back).await {
+        while let Some((address, wakes)) = self.address() {
+            let wake = &wakes.write;
+            if !self.has_place(wake, &mut draws, given_back).await {
                 continue;
             }
             let dialled = match swapped.take() {
@@ -173,7 +178,7 @@
                     let _ = stream.set_nodelay(true);
                     self.tell(Input::LinkUp { machine });
                     let mut buffer = BytesMut::with_capacity(READ_BYTES);
-                    let end = self.talk(&stream, &address, &wake, &mut draws, &mut buffer, &mut signs).await;
+                    let end = self.talk(&stream, &address, &wakes, &mut draws, &mut buffer, &mut signs).await;
                     let end = match end {
                         Ok(End::Swap(other)) => {
                             swapped = Some(other);
@@ -210,7 +215,7 @@
                         wait = AGAIN.0;
                         // What broke it may have broken the connections of all planners. A set-up does not wait.
                         if self.hub.lock().need(machine) != Need::Now {
-                            woken_within(&wake, draws.part(BROKEN)).await;
+                            woken_within(wake, draws.part(BROKEN)).await;
                         }
                         continue;
                     }
@@ -250,7 +255,7 @@
                 }
             }
             // Whatever it is that resets new connections must not have the planner dial without end.
-            woken_within(&wake, draws.half(wait)).await;
+            woken_within(wake, draws.half(wait)).await;
             wait = (wait * 2).min(AGAIN.1);
         }
     }
@@ -280,42 +285,53 @@
         &self,
         stream: &TcpStream,
         address: &str,
-        wake: &Notify,
+        wakes: &Wakes,
         draws: &mut Draws,
         buffer: &mut BytesMut,
         signs: &mut Signs,
     ) -> io::Result<End> {
         let mut watch = Watch::new(self.hub.now());
-        let (mut left, mut part_since) = (Vec::new(), None::<Instant>);
-        let mut looks = tokio::time::interval_at(tokio::time::Instant::now() + draws.part(LOOK), LOOK);
-        looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let (mut left, mut half_line_since) = (Vec::new(), None::<Seconds>);
+        let mut looks = Looks::new(self.hub.now() + LOOK_EVERY_S * draws.draw());
+        let mut look_at = None;
+        let mut timer = pin!(sleep(Duration::ZERO));
         loop {
             *signs = watch.signs();
             let at = (self.machine, self.life, address);
             let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(End::Closed) };
-            if self.hub.lock().is_asked_back(self.hub.now(), self.machine) {
-                return Ok(End::GivenBack);
+            let open = {
+                let mut inner = self.hub.lock();
+                if inner.is_asked_back(self.hub.now(), self.machine) {
+                    return Ok(End::GivenBack);
+                }
+                inner.open_on(self.machine, half_line_since)
+            };
+            let planned = looks.plan(self.hub.now(), open.due(&watch));
+            if planned != look_at {
+                if let Some(at) = planned {
+                    timer.as_mut().reset(tokio::time::Instant::now() + seconds(at - self.hub.now()));
+                }
+                look_at = planned;
             }
             let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
             tokio::select! {
-                () = wake.notified() => self.hub.lock().places.used(self.hub.now(), self.machine),
-                _ = looks.tick() => {
-                    if part_since.is_some_and(|since| since.elapsed() > HALF) {
+                () = wakes.write.notified() => self.hub.lock().places.used(self.hub.now(), self.machine),
+                () = wakes.look.notified() => {}
+                () = &mut timer, if look_at.is_some() => {
+                    let now = self.hub.now();
+                    looks.looked(now);
+                    look_at = None;
+                    let open = self.hub.lock().open_on(self.machine, half_line_since);
+                    if open.is_line_lost(now) {
                         return Err(io::Error::new(io::ErrorKind::TimedOut, "half a line"));
                     }
-                    let (probing, held) = {
-                        let mut inner = self.hub.lock();
-                        if inner.places.is_short() {
-                            inner.press(self.hub.now());
-                        }
-                        let link = inner.nodes.get(&self.machine);
-                        let late = |l: &crate::wire::hub::NodeLink| l.probe.is_some_and(|at| at.elapsed() > PROBE);
-                        (link.is_some_and(late), inner.core.standing_at(self.machine) > 0)
-                    };
-                    if probing {
+                    if open.is_short {
+                        self.hub.lock().press(now);
+                    }
+                    if open.is_test_late(now) {
                         self.fail_probe(Outcome::TimedOut);
                     }
-                    let mut step = watch.look(self.hub.now(), held, draws.draw());
+                    let mut step = watch.look(now, open.holds_tasks, draws.draw());
                     let mut other = None;
                     if step == Step::Dial {
                         let dialled = self.dial(address).await;
@@ -358,7 +374,7 @@
                                 self.hub.lock().places.used(self.hub.now(), self.machine);
                                 let of_task = self.hear(buffer)?;
                                 watch.heard(self.hub.now(), of_task);
-                                part_since = (!buffer.is_empty()).then(Instant::now);
+                                half_line_since = (!buffer.is_empty()).then(|| self.hub.now());
                             }
                             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                             Err(error) => return Err(error),
