Keep the slopes of burlhook-lab capacity in a table by name

A record may go into another folder, and its commit may be told where the program that is measured is not the one that is checked out.

--- a/lab/src/capacity/command.rs
+++ b/lab/src/capacity/command.rs
@@ -1,11 +1,16 @@
 //! The command line of the scale tests: `burlhook-lab capacity`.
 
-use super::record::Run;
+use super::record::{Run, RECORDS};
+use super::slopes::{select, Options, TABLE};
+use crate::planner::Program;
 use clap::Subcommand;
 use std::io;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 
+/// Count. Runs at each size where nothing else is said.
+const REPEATS: usize = 3;
+
 /// What to do with the slopes.
 #[derive(Debug, Subcommand)]
 pub enum Action {
@@ -25,6 +30,15 @@
         /// The planner's program; this one's own planner if absent.
         #[arg(long)]
         planner: Option<PathBuf>,
+        /// The commit of that program, where it is not the one that is checked out.
+        #[arg(long)]
+        commit: Option<String>,
+        /// The folder of the records, relative to the root.
+        #[arg(long, default_value = RECORDS)]
+        records: PathBuf,
+        /// Runs at each size; fewer at the greatest.
+        #[arg(long, default_value_t = REPEATS)]
+        repeats: usize,
     },
 }
 
@@ -34,16 +48,30 @@
 /// If a run cannot be started or a record not be written.
 pub fn run(action: Action) -> io::Result<bool> {
     match action {
-        Action::Run { slopes, short, root, .. } => {
-            let run = describe_run(&root, short);
+        Action::Run { slopes, short, json, root, planner, commit, records, repeats } => {
+            let mut run = describe_run(&root, short);
+            run.commit = commit.unwrap_or(run.commit);
             eprintln!("capacity: {} on {}", run.commit, run.machine);
-            Err(io::Error::other(format!("there is no slope of these names: {slopes:?}")))
+            let options = Options { short, repeats, program: Program::or_own(planner)?, run };
+            measure(&slopes, &options, &root.join(records), json)
+        }
+    }
+}
+
+fn measure(names: &[String], options: &Options, records: &Path, json: bool) -> io::Result<bool> {
+    for entry in select(TABLE, names)? {
+        for slope in (entry.measure)(options)? {
+            slope.write_into(records)?;
+            if json {
+                println!("{}", serde_json::to_string(&slope).map_err(io::Error::other)?);
+            }
         }
     }
+    Ok(true)
 }
 
 /// Where and when the slopes of this run are measured.
-pub fn describe_run(root: &std::path::Path, short: bool) -> Run {
+pub fn describe_run(root: &Path, short: bool) -> Run {
     let output = |program: &str, arguments: &[&str]| {
         let output = Command::new(program).args(arguments).current_dir(root).output().ok();
         output.map(|o| String::from_utf8_lossy(&o.stdout).trim().to_string()).unwrap_or_default()
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -3,3 +3,4 @@
 
 pub mod command;
 pub mod record;
+pub mod slopes;
--- a/lab/src/capacity/record.rs
+++ b/lab/src/capacity/record.rs
@@ -153,12 +153,17 @@
     /// # Errors
     /// If the file cannot be written.
     pub fn write(&self, root: &Path) -> io::Result<()> {
-        let path = Slope::path(root, &self.name);
-        if let Some(folder) = path.parent() {
-            std::fs::create_dir_all(folder)?;
-        }
+        self.write_into(&root.join(RECORDS))
+    }
+
+    /// Writes the record into a folder.
+    ///
+    /// # Errors
+    /// If the file cannot be written.
+    pub fn write_into(&self, folder: &Path) -> io::Result<()> {
+        std::fs::create_dir_all(folder)?;
         let text = serde_json::to_string_pretty(self).map_err(io::Error::other)?;
-        std::fs::write(path, text + "\n")
+        std::fs::write(folder.join(format!("{}.json", self.name)), text + "\n")
     }
 
     /// A figure by its name.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -259,10 +259,7 @@
 }
 
 fn program(path: Option<PathBuf>) -> io::Result<Program> {
-    match path {
-        Some(path) => Ok(Program::at(path)),
-        None => Ok(Program { words: vec!["planner".into()], ..Program::at(std::env::current_exe()?) }),
-    }
+    Program::or_own(path)
 }
 
 fn print_fleet(report: &fleet::Report) {
--- a/lab/src/planner.rs
+++ b/lab/src/planner.rs
@@ -28,6 +28,17 @@
         Program { path: "/bin/sh".into(), words, operators_flag: self.operators_flag.clone() }
     }
 
+    /// The program at this path, or the planner in the running program itself.
+    ///
+    /// # Errors
+    /// If the system does not tell which program runs.
+    pub fn or_own(path: Option<PathBuf>) -> io::Result<Program> {
+        match path {
+            Some(path) => Ok(Program::at(path)),
+            None => Ok(Program { words: vec!["planner".into()], ..Program::at(std::env::current_exe()?) }),
+        }
+    }
+
     /// The planner's own program.
     pub fn at(path: impl AsRef<Path>) -> Program {
         let (path, operators_flag) = (path.as_ref().to_path_buf(), "--operators".into());
