Add hollow machines: many machines in one process behind one listener

Scale tests need up to 18,000 machines that cost few descriptors and no threads. A listener on the loopback device takes all addresses of 127.0.0.0/8; the address that a connection came to says which machine it is. They speak the machine protocol as the stand-in machine does (the same script brings the same messages from both) and count messages and bytes. The process is apart from planner and load.

--- a/lab/src/capacity/command.rs
+++ b/lab/src/capacity/command.rs
@@ -1,5 +1,6 @@
 //! The command line of the scale tests: `burlhook-lab capacity`.
 
+use super::hollow_machine;
 use super::record::{Run, RECORDS};
 use super::slopes::{select, Options, TABLE};
 use crate::planner::Program;
@@ -40,6 +41,12 @@
         #[arg(long, default_value_t = REPEATS)]
         repeats: usize,
     },
+    /// Hollow machines until standard input ends, as the slopes start them.
+    #[command(hide = true)]
+    HollowMachines {
+        /// How they behave, as JSON.
+        plan: String,
+    },
 }
 
 /// Carries out an action.
@@ -55,6 +62,10 @@
             let options = Options { short, repeats, program: Program::or_own(planner)?, run };
             measure(&slopes, &options, &root.join(records), json)
         }
+        Action::HollowMachines { plan } => {
+            hollow_machine::run(&plan)?;
+            Ok(true)
+        }
     }
 }
 
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -2,5 +2,6 @@
 //! of its own, measures the real code, and writes one [`record::Slope`] as JSON under `docs/capacity/`.
 
 pub mod command;
+pub mod hollow_machine;
 pub mod record;
 pub mod slopes;
