--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -3,4 +3,6 @@
 
 pub mod command;
 pub mod fit;
+pub mod hollow_machine;
 pub mod record;
+pub mod slopes;
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -264,11 +264,11 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             (job.attempts, job.machine, job.placed_at) = (1, Some(machine), now);
         }
-        if let Some(node) = self.nodes.get_mut(&machine) {
-            node.standing.insert(id);
-        } else {
+        match self.nodes.stands(machine, id) {
+            Stands::First => effects.push(Effect::Watch { machine }),
+            Stands::BesideOthers => {}
             // A machine that nobody knows will never tell of its end.
-            self.alarm(now + UNLISTED_S, Alarm::Unlisted(id));
+            Stands::Unlisted => self.alarm(now + UNLISTED_S, Alarm::Unlisted(id)),
         }
         self.changed(id, ChangeKind::Added, effects);
         self.feed(now, Event::Resident { request: id, task, machine }, effects);
@@ -364,8 +364,8 @@
             }
         }
         job.phase = phase;
-        if let Some(node) = job.machine.and_then(|m| self.nodes.get_mut(&m)) {
-            node.standing.remove(&id);
+        if let Some(machine) = job.machine {
+            self.nodes.stands_no_more(machine, id);
         }
         if self.keep.over == 0 {
             self.jobs.remove(&id);
