Play a planner without a process: burlhook::simulation, and count machines looked at

Scale tests need exact counts (machines looked at, messages, bytes) of many planners in one process.

- Reading a set-up (owners::request) and what a machine's line means (Says::input) are functions now that the sockets and the simulation share.
No behaviour changes.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod document;
 pub mod life;
 mod placer;
+pub mod simulation;
 mod state;
 pub mod vocabulary;
 mod wire;
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod cli;
 mod config;
-mod operators;
+pub(crate) mod operators;
 
 use crate::placer::{ListKind, Seconds, Settings};
 use crate::state::{Core, Input, Keep};
--- a/src/life/operators.rs
+++ b/src/life/operators.rs
@@ -42,7 +42,11 @@
     read(path, &text, settings, words)
 }
 
-fn read(path: &Path, text: &Text, settings: &Settings, words: &Vocabulary) -> Result<Operators, Faults> {
+/// Reads a file's text and holds it against the settings.
+///
+/// # Errors
+/// All its faults.
+pub fn read(path: &Path, text: &Text, settings: &Settings, words: &Vocabulary) -> Result<Operators, Faults> {
     let root = document::parse(text)?;
     let sink = Sink::default();
     let mut told = Vec::new();
--- a/src/placer/rules.rs
+++ b/src/placer/rules.rs
@@ -286,6 +286,8 @@
     tended_at: Seconds,
     /// Probes that may be spent on fresh reports alone.
     probe_credit: f64,
+    /// Machines that all picks so far have looked at.
+    pub looked_at: u64,
 }
 
 impl Placer {
@@ -318,6 +320,7 @@
             wake_at: 0.0,
             tended_at: f64::NEG_INFINITY,
             probe_credit: 0.0,
+            looked_at: 0,
             settings,
         })
     }
@@ -748,6 +751,7 @@
         let (loads, count) = known.fold((0.0, 0u32), |(sum, count), load| (sum + load, count + 1));
         let average = loads / f64::from(count.max(1));
         for (&id, machine) in &self.machines {
+            self.looked_at += 1;
             if self.may_take(now, request, id, machine) {
                 let mut sum = self.sum(now, &request.task, id, machine, average);
                 let erred = request.attempts.iter().any(|a| a.erred && a.machine == id);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -169,6 +169,11 @@
         &self.history
     }
 
+    /// Machines that all picks so far have looked at.
+    pub fn looked_at(&self) -> u64 {
+        self.placer.looked_at
+    }
+
     /// Jobs of the REST front that wait or run.
     pub fn open_rest_jobs(&self) -> usize {
         self.open_rest
--- a/src/wire/peers/mod.rs
+++ b/src/wire/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Words between the planners of a fleet: datagrams of at most 256 bytes on loopback, from listed addresses and of this
 //! fleet alone. Anything else is dropped and counted. Whatever is lost is said again by who needs it, so nothing here is.
 
-mod words;
+pub mod words;
 
 use super::hub::Hub;
 use crate::decide::budgets::Word;
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -413,30 +413,13 @@
     fn take_in(&self, says: Says) {
         let machine = self.machine;
         let mut inner = self.hub.lock();
-        let report = |load: Option<node::Load>, inner: &mut crate::wire::hub::Inner| {
-            load.map(|load| inner.core.words().report_by(|name| load.get(name)))
-        };
-        let input = match says {
-            Says::Running { job, body } => Input::Bound { machine, job, body },
-            Says::Stopped { job, before, after, why, load } => {
-                let report = report(load, &mut inner);
-                Input::Ended { machine, job, before, after, why, report }
-            }
-            Says::Checked { number, .. } if number & PROOF != 0 => {
-                Input::Heard { machine, ask: number & !PROOF }
-            }
-            Says::Checked { passed, load, .. } => {
-                let asked = inner.nodes.get_mut(&machine).and_then(|l| l.probe.take());
-                if asked.is_none() {
-                    return; // It came after the probe was given up.
-                }
-                let outcome = if passed { Outcome::Ok } else { Outcome::Error };
-                let report = report(load, &mut inner);
-                Input::Probed { machine, outcome, report }
+        if matches!(says, Says::Checked { number, .. } if number & PROOF == 0) {
+            let asked = inner.nodes.get_mut(&machine).and_then(|l| l.probe.take());
+            if asked.is_none() {
+                return; // It came after the probe was given up.
             }
-            Says::Note { job, note } => Input::Noted { machine, job, note },
-            Says::Free => return,
-        };
+        }
+        let Some(input) = says.input(machine, inner.core.words()) else { return };
         self.hub.apply_in(&mut inner, input);
     }
 }
--- a/src/wire/platform/mod.rs
+++ b/src/wire/platform/mod.rs
@@ -7,7 +7,7 @@
 mod lists;
 pub mod node;
 pub mod owner;
-mod owners;
+pub mod owners;
 
 pub use boxes::hold_links;
 pub use lists::{follow, take_in, Source};
--- a/src/wire/platform/node.rs
+++ b/src/wire/platform/node.rs
@@ -1,7 +1,8 @@
 //! The boxes' JSON lines as pure functions on bytes.
 
 use crate::placer::*;
-use crate::state::Spec;
+use crate::state::{Input, Spec};
+use crate::vocabulary::Vocabulary;
 use serde::Deserialize;
 use serde_json::{json, Map, Value};
 use thiserror::Error;
@@ -68,6 +69,28 @@
     Free,
 }
 
+impl Says {
+    /// What it means to the core; nothing where it means nothing.
+    pub fn input(self, machine: MachineId, words: &Vocabulary) -> Option<Input> {
+        let report = |load: Option<Load>| load.map(|load| words.report_by(|name| load.get(name)));
+        Some(match self {
+            Says::Running { job, body } => Input::Bound { machine, job, body },
+            Says::Stopped { job, before, after, why, load } => {
+                Input::Ended { machine, job, before, after, why, report: report(load) }
+            }
+            Says::Checked { number, .. } if number & PROOF != 0 => {
+                Input::Heard { machine, ask: number & !PROOF }
+            }
+            Says::Checked { passed, load, .. } => {
+                let outcome = if passed { Outcome::Ok } else { Outcome::Error };
+                Input::Probed { machine, outcome, report: report(load) }
+            }
+            Says::Note { job, note } => Input::Noted { machine, job, note },
+            Says::Free => return None,
+        })
+    }
+}
+
 /// The figures of a report by name.
 #[derive(Debug)]
 pub struct Load(Vec<(String, f64)>);
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -3,7 +3,7 @@
 use super::node::{self, cause};
 use super::owner::{self, kind, Malformed, Message, SetUp};
 use crate::placer::*;
-use crate::state::{Ask, Input, Owner, Spec};
+use crate::state::{Ask, Core, Input, Owner, Spec};
 use crate::wire::hub::{is_unread, Hub, Inner};
 use bytes::{Buf, BytesMut};
 use std::io;
@@ -157,24 +157,10 @@
     let now = hub.now();
     match message.kind {
         kind::SET_UP => {
-            let set_up = message.set_up()?;
-            let at = set_up.at.clone();
-            let class = inner.core.words().class(&set_up.class).ok_or(Malformed::Value("class"))?;
-            let ask = ask(job, id, now, class, set_up);
-            // What runs already has been admitted once, and waits for nothing.
-            if at.is_none() {
-                inner.core.admits(now, &ask).map_err(Malformed::Value)?;
-                if !node::fits(job, &ask.spec) {
-                    return Err(Malformed::Value("description"));
-                }
-            }
+            let input = request(&mut inner.core, now, id, message)?;
             if let Some(link) = inner.owners.get_mut(&id) {
                 link.used = now;
             }
-            let input = match at {
-                Some(name) => Input::Adopt { ask, machine: inner.core.words().machine(&name) },
-                None => Input::Submit(ask),
-            };
             hub.apply_in(inner, input);
         }
         kind::RELEASE => {
@@ -191,6 +177,29 @@
     Ok(())
 }
 
+/// A set-up as an input, where it is one that can be taken.
+pub(crate) fn request(
+    core: &mut Core,
+    now: Seconds,
+    link: u64,
+    message: &Message<'_>,
+) -> Result<Input, Malformed> {
+    let job = RequestId(message.task);
+    let set_up = message.set_up()?;
+    let at = set_up.at.clone();
+    let class = core.words().class(&set_up.class).ok_or(Malformed::Value("class"))?;
+    let ask = ask(job, link, now, class, set_up);
+    // What runs already has been admitted once, and waits for nothing.
+    if let Some(name) = at {
+        return Ok(Input::Adopt { ask, machine: core.words().machine(&name) });
+    }
+    core.admits(now, &ask).map_err(Malformed::Value)?;
+    if !node::fits(job, &ask.spec) {
+        return Err(Malformed::Value("description"));
+    }
+    Ok(Input::Submit(ask))
+}
+
 fn ask(job: RequestId, link: u64, now: Seconds, class: usize, set_up: SetUp) -> Ask {
     let task = Task {
         class,
