Measure what a planner costs without a process: picks, admission, lists, restarts, state, members

Slopes against machines, tasks, routes and planners are to be exact where they can be. Each is a file under lab/src/capacity with its sizes, on burlhook::simulation, simulated time and hollow machines:

- pick-machines, admission-routes, admission-quotas, gang-machines, config-parse, list-machines, restart-hollow (and -tasks), state-machines, state-tasks, members (and -busy), rest-hollow.
- Allocations and bytes come from stats_alloc, processor time from the thread's clock (cpu-time).
A count that differs between two runs is an error.

--- /dev/null
+++ b/lab/src/capacity/gang_machines.rs
@@ -0,0 +1,70 @@
+//! What a gang of 128 costs against machines: the look whether it fits, and the whole of it until it stands.
+
+use super::count::{cost_of, needs_counts};
+use super::hollow_planner::{operators, HollowPlanner};
+use super::ladder::{Ladder, Sample};
+use super::pick_machines::placer;
+use super::record::Slope;
+use super::slopes::Options;
+use burlhook::decide::groups::fit::{admit, Need};
+use burlhook::Room;
+use std::io;
+
+/// Count. Members of a gang; the operators' file allows up to 256.
+const MEMBERS: usize = 128;
+/// Cores, and units of memory, that each member asks for.
+const ROOM: Room = Room { cores: 1.0, memory: 1.0 };
+/// Share of the fleet that one gang may ask for.
+const SHARE: f64 = 1.0;
+
+/// The slope.
+pub const LADDER: Ladder = Ladder {
+    name: "gang-machines",
+    question: "What does a gang of 128 cost a planner, as machines grow?",
+    size: "machines",
+    held: &[("members", MEMBERS as f64), ("gangs at once", 1.0)],
+    real: "the look whether the gang fits (decide::groups::fit); the reducer, the placer and the deciders until all \
+           members stand",
+    hollow: "no process, no sockets, no REST front; machines on simulated time answer at once; the operators' file \
+             allows 128 members (32 where it says nothing, 256 at the most)",
+    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
+    short: &[20, 100, 400, 1_000],
+    run,
+};
+
+/// Measures the slope.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
+    LADDER.measure(options)
+}
+
+fn run(machines: usize) -> io::Result<Vec<Sample>> {
+    needs_counts()?;
+    let now = 1_000.0;
+    let placer = placer(machines, now, |_| {})?;
+    let needs = vec![Need { room: ROOM, kind: None }; MEMBERS];
+    let (fits, fit) = cost_of(|| admit(&needs, &placer.spaces(now), &[], SHARE));
+    fits.map_err(|lacks| io::Error::other(format!("{lacks:?}")))?;
+
+    let mut hollow = HollowPlanner::with_machines(machines)?;
+    hollow.configure(&operators::groups(MEMBERS))?;
+    hollow.take_cost();
+    let before = hollow.planner.looked_at();
+    hollow.group("gang", MEMBERS, ROOM)?;
+    hollow.advance(1.0)?;
+    let cost = hollow.take_cost();
+    if hollow.placed != MEMBERS as u64 || hollow.planner.pending() > 0 {
+        return Err(io::Error::other(format!("{} of {MEMBERS} members stand", hollow.placed)));
+    }
+    let looked_at = hollow.planner.looked_at() - before;
+    Ok(vec![
+        Sample::count("machines looked at a gang", "count", looked_at as f64),
+        Sample::count("allocations a gang", "count", cost.allocations_each(1)),
+        Sample::count("bytes allocated a gang", "bytes", cost.bytes_each(1)),
+        Sample::time("processor time a gang", "ms", cost.processor.as_secs_f64() * 1e3),
+        Sample::count("bytes allocated for the fit", "bytes", fit.bytes_each(1)),
+        Sample::time("processor time of the fit", "ms", fit.processor.as_secs_f64() * 1e3),
+    ])
+}
--- /dev/null
+++ b/lab/src/capacity/hollow_planner/operators.rs
@@ -0,0 +1,42 @@
+//! Operators' files of any size.
+
+use std::fmt::Write;
+
+/// The service of a route, as the platform's front tells it.
+pub fn service(route: usize) -> String {
+    format!("{:016x}", 0x1000 + route)
+}
+
+/// A file with so many routes, one for a service, each with a rate and places in flight of its own.
+pub fn routes(count: usize) -> String {
+    let mut text = String::from("{ limits: { default: { totalMs: 4000 }, routes: [\n");
+    for route in 0..count {
+        let service = service(route);
+        let line = format!(
+            "  {{ name: \"team-{route}\", match: {{ service: \"{service}\" }}, inFlight: 200, ratePerS: 50, burst: 100 }},"
+        );
+        // Writing to a text does not fail.
+        let _ = writeln!(text, "{line}");
+    }
+    text + "] } }\n"
+}
+
+/// A file that allows groups of so many members.
+pub fn groups(members: usize) -> String {
+    format!("{{ groups: {{ default: {{ maxMembers: {members}, share: 1 }} }} }}\n")
+}
+
+/// The file of one planner of so many, of which some vote, with one budget of all of them.
+pub fn fleet(own: usize, planners: usize, voters: usize, in_flight: usize) -> String {
+    let port = |planner: usize| 10_000 + planner;
+    let one = |planner: usize| format!("{{name: \"p{planner}\", address: \"127.0.0.1:{}\"}}", port(planner));
+    let all: Vec<String> = (0..planners).map(one).collect();
+    let voters: Vec<String> = (0..voters).map(|voter| format!("\"p{voter}\"")).collect();
+    format!(
+        "{{ fleet: {{ name: \"scale\", own: \"p{own}\", listen: \"127.0.0.1:{}\", planners: [{}], voters: [{}], \
+         leaseMs: 3000 }}, limits: {{ default: {{ totalMs: 1500, inFlight: {in_flight}, scope: \"fleet\" }} }} }}\n",
+        port(own),
+        all.join(", "),
+        voters.join(", ")
+    )
+}
--- /dev/null
+++ b/lab/src/capacity/list_machines.rs
@@ -0,0 +1,63 @@
+//! What the machine list costs against machines: the whole list, and a change of one machine.
+
+use super::count::needs_counts;
+use super::hollow_planner::{change_line, whole_line, HollowPlanner};
+use super::ladder::{Ladder, Sample};
+use super::record::Slope;
+use super::slopes::Options;
+use std::io;
+
+/// Count. Changes of one machine that are measured.
+const CHANGES: usize = 20;
+/// Seconds between two lines of the list.
+const GAP_S: f64 = 1.0;
+
+/// The slope.
+pub const LADDER: Ladder = Ladder {
+    name: "list-machines",
+    question: "What do a whole machine list and a change of one machine cost a planner, as machines grow?",
+    size: "machines",
+    held: &[("standing tasks", 0.0), ("machines of a change", 1.0)],
+    real: "the codec of the list, the vocabulary, the reducer and the placer",
+    hollow: "no process and no sockets: the lines are handed in on simulated time; the program takes lines of up to \
+             4 MiB",
+    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
+    short: &[20, 100, 400, 1_000],
+    run,
+};
+
+/// Measures the slope.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
+    LADDER.measure(options)
+}
+
+fn run(machines: usize) -> io::Result<Vec<Sample>> {
+    needs_counts()?;
+    let mut hollow = HollowPlanner::with_machines(machines)?;
+    let line = whole_line(2, machines);
+    hollow.take_cost();
+    hollow.list(&line)?;
+    let whole = hollow.take_cost();
+    let (mut revision, mut change_bytes) = (2, 0);
+    for change in 0..CHANGES {
+        hollow.advance(GAP_S)?;
+        revision += 1;
+        let line = change_line(revision, change * machines / CHANGES, true);
+        change_bytes = change_bytes.max(line.len());
+        hollow.list(&line)?;
+    }
+    let change = hollow.take_cost();
+    Ok(vec![
+        Sample::count("bytes of a whole list", "bytes", line.len() as f64),
+        Sample::count("allocations of a whole list", "count", whole.allocations_each(1)),
+        Sample::count("bytes allocated by a whole list", "bytes", whole.bytes_each(1)),
+        Sample::time("processor time of a whole list", "ms", whole.processor.as_secs_f64() * 1e3),
+        Sample::count("bytes of a change", "bytes", change_bytes as f64),
+        Sample::count("allocations of a change", "count", change.allocations_each(CHANGES)),
+        Sample::count("bytes allocated by a change", "bytes", change.bytes_each(CHANGES)),
+        Sample::time("processor time of a change", "us", change.microseconds_each(CHANGES)),
+    ])
+}
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -1,6 +1,18 @@
 //! Scale tests: what each part of a planner costs as one size grows and the others stand still. Each slope is a module
 //! of its own, measures the real code, and writes one [`record::Slope`] as JSON under `docs/capacity/`.
 
+pub mod admission;
 pub mod command;
+pub mod config_parse;
+pub mod count;
+pub mod gang_machines;
+pub mod hollow_planner;
+pub mod ladder;
+pub mod list_machines;
+pub mod members;
+pub mod pick_machines;
 pub mod record;
+pub mod rest_hollow;
+pub mod restart_hollow;
 pub mod slopes;
+pub mod state;
--- /dev/null
+++ b/lab/src/capacity/pick_machines.rs
@@ -0,0 +1,142 @@
+//! Machines looked at for one pick, and what a pick and a whole ask cost, against machines.
+
+use super::count::{cost_of, needs_counts, Cost};
+use super::hollow_planner::{set_up, settings, HollowPlanner, Request};
+use super::ladder::{Ladder, Sample};
+use super::record::Slope;
+use super::slopes::Options;
+use burlhook::{
+    vocabulary, Action, CellId, Entry, Event, ListKind, MachineId, MachineKey, Placer, RequestId, Room,
+    Seconds, ServiceId, Settings, Standing, Task, TaskLimits, ZoneId,
+};
+use std::io;
+
+/// Count. Picks and asks before the measured ones, so that buffers have their size.
+const WARM: usize = 40;
+/// Count. Picks and asks that are measured.
+const MEASURED: usize = 100;
+/// Seconds between two asks: 200 a second.
+const GAP_S: Seconds = 0.005;
+/// Cores, and units of memory, that each asks for.
+const ROOM: f64 = 0.5;
+
+/// The slope.
+pub const LADDER: Ladder = Ladder {
+    name: "pick-machines",
+    question: "What does it cost a planner to pick a machine, and to serve a whole ask, as machines grow?",
+    size: "machines",
+    held: &[("asks a second", 200.0), ("kinds", 1.0), ("zones", 2.0), ("services", 1.0)],
+    real: "the placer for a pick; the reducer, the deciders and the codecs for an ask, from the request's bytes to the \
+           release's",
+    hollow: "no process and no sockets; machines on simulated time answer at once; a task ends before the next ask",
+    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
+    short: &[20, 100, 400, 1_000],
+    run,
+};
+
+/// Measures the slope.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
+    LADDER.measure(options)
+}
+
+fn run(machines: usize) -> io::Result<Vec<Sample>> {
+    needs_counts()?;
+    let (looked_at, pick) = picks(machines)?;
+    let ask = asks(machines)?;
+    Ok(vec![
+        Sample::count("machines looked at a pick", "count", looked_at as f64 / MEASURED as f64),
+        Sample::count("allocations a pick", "count", pick.allocations_each(MEASURED)),
+        Sample::count("bytes allocated a pick", "bytes", pick.bytes_each(MEASURED)),
+        Sample::time("processor time a pick", "us", pick.microseconds_each(MEASURED)),
+        Sample::count("allocations an ask", "count", ask.allocations_each(MEASURED)),
+        Sample::count("bytes allocated an ask", "bytes", ask.bytes_each(MEASURED)),
+        Sample::time("processor time an ask", "us", ask.microseconds_each(MEASURED)),
+    ])
+}
+
+/// A placer that knows so many machines, all free, with changed settings.
+///
+/// # Errors
+/// If it cannot be started.
+pub fn placer(machines: usize, now: Seconds, change: impl FnOnce(&mut Settings)) -> io::Result<Placer> {
+    let (mut settings, _) = vocabulary::settings(&settings()).map_err(io::Error::other)?;
+    change(&mut settings);
+    let mut placer = Placer::new(settings, 1).map_err(io::Error::other)?;
+    let entry = |machine: usize| Entry {
+        machine: MachineId(machine as u32),
+        key: MachineKey(machine as u64),
+        zone: ZoneId(machine as u32 % 2),
+        cell: CellId(machine as u64 / 4),
+        kind: Some(0),
+        standing: Standing::Ready,
+        free: Room { cores: 40.0, memory: 80.0 },
+        started: 0.0,
+    };
+    let entries = (0..machines).map(entry).collect();
+    placer.handle(now, Event::List { kind: ListKind::Whole, entries }, &mut Vec::new());
+    Ok(placer)
+}
+
+/// A task of the first class, which may run anywhere.
+pub fn task(now: Seconds) -> Task {
+    Task {
+        class: 0,
+        tenant: None,
+        service: ServiceId(7),
+        room: Room { cores: ROOM, memory: ROOM },
+        deadline: now + 5.0,
+        life_s: None,
+        limits: TaskLimits::default(),
+    }
+}
+
+fn picks(machines: usize) -> io::Result<(u64, Cost)> {
+    let mut now = 1_000.0;
+    let mut placer = placer(machines, now, |_| {})?;
+    let (mut cost, mut looked_at, mut actions) = (Cost::default(), 0, Vec::with_capacity(16));
+    for number in 0..WARM + MEASURED {
+        now += GAP_S;
+        let (request, task) = (RequestId(number as u64 + 1), task(now));
+        let before = placer.looked_at;
+        let (_, of_pick) = cost_of(|| placer.handle(now, Event::Submitted { request, task }, &mut actions));
+        if number >= WARM {
+            cost.add(of_pick);
+            looked_at += placer.looked_at - before;
+        }
+        let bound = actions.drain(..).any(|action| matches!(action, Action::Bind { .. }));
+        if !bound {
+            return Err(io::Error::other("a pick found no machine"));
+        }
+        placer.handle(now, Event::Bound { request, attempt: 0, took_s: 0.0 }, &mut actions);
+        placer.handle(now, Event::Ended(ended(request)), &mut actions);
+        actions.clear();
+    }
+    Ok((looked_at, cost))
+}
+
+/// The end of a task that ran.
+pub fn ended(request: RequestId) -> burlhook::End {
+    let (outcome, reason) = (burlhook::Outcome::Ok, burlhook::Reason::Unknown);
+    burlhook::End { request, attempt: 0, outcome, reason, finished: true, last: false, report: None }
+}
+
+fn asks(machines: usize) -> io::Result<Cost> {
+    let mut hollow = HollowPlanner::with_machines(machines)?;
+    for number in 0..WARM + MEASURED {
+        if number == WARM {
+            hollow.take_cost();
+        }
+        hollow.advance(GAP_S)?;
+        let id = hollow.next_request();
+        let message = set_up(&Request { id, service: 7, cores: ROOM, at: None });
+        hollow.request(&message)?;
+        let Some(machine) = hollow.placed_at.take() else {
+            return Err(io::Error::other("an ask was not placed"));
+        };
+        hollow.end(machine, id)?;
+    }
+    Ok(hollow.take_cost())
+}
--- /dev/null
+++ b/lab/src/capacity/rest_hollow.rs
@@ -0,0 +1,45 @@
+//! What the reducer does at rest, against machines: how often it is woken, and what it writes.
+
+use super::hollow_planner::HollowPlanner;
+use super::ladder::{Ladder, Sample};
+use super::record::Slope;
+use super::slopes::Options;
+use std::io;
+
+/// Seconds at rest that are counted.
+const REST_S: f64 = 60.0;
+
+/// The slope.
+pub const LADDER: Ladder = Ladder {
+    name: "rest-hollow",
+    question: "How often is a planner's reducer woken while no ask comes and the list is still, and what does it write, \
+               as machines grow?",
+    size: "machines",
+    held: &[("asks a second", 0.0), ("standing tasks", 0.0), ("changes of the list", 0.0)],
+    real: "the reducer and the placer with their alarms and tests of machines",
+    hollow: "no process, no sockets: looks at the health of connections (wire::platform) are not in it; simulated time",
+    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
+    short: &[20, 100, 400, 1_000],
+    run,
+};
+
+/// Measures the slope.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
+    LADDER.measure(options)
+}
+
+fn run(machines: usize) -> io::Result<Vec<Sample>> {
+    let mut hollow = HollowPlanner::with_machines(machines)?;
+    let (ticks, written) = (hollow.ticks, hollow.to_machines);
+    hollow.advance(REST_S)?;
+    let (ticks, messages) = (hollow.ticks - ticks, hollow.to_machines.messages - written.messages);
+    let bytes = hollow.to_machines.bytes - written.bytes;
+    Ok(vec![
+        Sample::count("alarms a second", "count/s", ticks as f64 / REST_S),
+        Sample::count("messages to machines a second", "messages/s", messages as f64 / REST_S),
+        Sample::count("bytes to machines a second", "bytes/s", bytes as f64 / REST_S),
+    ])
+}
--- /dev/null
+++ b/lab/src/capacity/restart_hollow.rs
@@ -0,0 +1,93 @@
+//! What a planner takes in at a restart, against machines and against standing tasks.
+
+use super::count::needs_counts;
+use super::hollow_planner::{set_up, whole_line, HollowPlanner, Request};
+use super::ladder::{Ladder, Sample};
+use super::record::Slope;
+use super::slopes::Options;
+use std::io;
+
+/// Count. Machines where standing tasks grow.
+const MACHINES: usize = 400;
+
+const REAL: &str = "the codecs of the list and of the clients, the reducer and the placer";
+const HOLLOW: &str =
+    "no process, no sockets, no connections to machines: the kept list, the list of the source and the \
+                      clients' tasks are handed in one after the other";
+
+/// Against machines.
+pub const BY_MACHINES: Ladder = Ladder {
+    name: "restart-hollow",
+    question: "What does a planner take in at a restart, as machines grow?",
+    size: "machines",
+    held: &[("standing tasks", 0.0)],
+    real: REAL,
+    hollow: HOLLOW,
+    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
+    short: &[20, 100, 400, 1_000],
+    run: by_machines,
+};
+
+/// Against standing tasks.
+pub const BY_TASKS: Ladder = Ladder {
+    name: "restart-hollow-tasks",
+    question: "What does a planner take in at a restart, as standing tasks grow?",
+    size: "standing tasks",
+    held: &[("machines", MACHINES as f64)],
+    real: REAL,
+    hollow: HOLLOW,
+    sizes: &[100, 1_000, 5_000, 10_000, 30_000, 60_000],
+    short: &[100, 1_000, 5_000],
+    run: by_tasks,
+};
+
+/// Measures the slope against machines.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure_machines(options: &Options) -> io::Result<Vec<Slope>> {
+    BY_MACHINES.measure(options)
+}
+
+/// Measures the slope against standing tasks.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure_tasks(options: &Options) -> io::Result<Vec<Slope>> {
+    BY_TASKS.measure(options)
+}
+
+fn by_machines(machines: usize) -> io::Result<Vec<Sample>> {
+    restart(machines, 0)
+}
+
+fn by_tasks(tasks: usize) -> io::Result<Vec<Sample>> {
+    restart(MACHINES, tasks)
+}
+
+fn restart(machines: usize, tasks: usize) -> io::Result<Vec<Sample>> {
+    needs_counts()?;
+    let mut hollow = HollowPlanner::new()?;
+    let (kept, whole) = (whole_line(1, machines), whole_line(2, machines));
+    let mut bytes = kept.len() + whole.len();
+    hollow.take_cost();
+    hollow.kept_list(&kept)?;
+    hollow.list(&whole)?;
+    for task in 0..tasks {
+        let id = hollow.next_request();
+        let message = set_up(&Request { id, service: 7, cores: 0.1, at: Some(task % machines) });
+        bytes += message.len();
+        hollow.request(&message)?;
+    }
+    let cost = hollow.take_cost();
+    let standing: usize = hollow.machines().map(|machine| hollow.planner.standing_at(machine)).sum();
+    if standing != tasks {
+        return Err(io::Error::other(format!("{standing} of {tasks} tasks stand")));
+    }
+    Ok(vec![
+        Sample::count("bytes taken in", "bytes", bytes as f64),
+        Sample::count("allocations of a restart", "count", cost.allocations_each(1)),
+        Sample::count("bytes of state", "bytes", cost.allocated.held as f64),
+        Sample::time("processor time of a restart", "ms", cost.processor.as_secs_f64() * 1e3),
+    ])
+}
--- a/lab/src/capacity/slopes.rs
+++ b/lab/src/capacity/slopes.rs
@@ -1,6 +1,10 @@
 //! The slopes by name. A slope is measured by a function of its own module; slopes that come from the same runs share one.
 
 use super::record::{Run, Slope};
+use super::{
+    admission, config_parse, gang_machines, list_machines, members, pick_machines, rest_hollow,
+    restart_hollow, state,
+};
 use crate::planner::Program;
 use std::io;
 
@@ -30,7 +34,21 @@
 }
 
 /// All slopes, in the order in which they are measured.
-pub const TABLE: &[Entry] = &[];
+pub const TABLE: &[Entry] = &[
+    Entry { names: &["pick-machines"], measure: pick_machines::measure },
+    Entry { names: &["admission-routes"], measure: admission::measure_routes },
+    Entry { names: &["admission-quotas"], measure: admission::measure_quotas },
+    Entry { names: &["gang-machines"], measure: gang_machines::measure },
+    Entry { names: &["config-parse"], measure: config_parse::measure },
+    Entry { names: &["list-machines"], measure: list_machines::measure },
+    Entry { names: &["restart-hollow"], measure: restart_hollow::measure_machines },
+    Entry { names: &["restart-hollow-tasks"], measure: restart_hollow::measure_tasks },
+    Entry { names: &["state-machines"], measure: state::measure_machines },
+    Entry { names: &["state-tasks"], measure: state::measure_tasks },
+    Entry { names: &["members"], measure: members::measure_rest },
+    Entry { names: &["members-busy"], measure: members::measure_busy },
+    Entry { names: &["rest-hollow"], measure: rest_hollow::measure },
+];
 
 /// The entries that measure the named slopes, each once; all of them if none is named.
 ///
--- /dev/null
+++ b/lab/src/capacity/state.rs
@@ -0,0 +1,101 @@
+//! Bytes of state that a planner keeps, against machines and against standing tasks.
+
+use super::count::needs_counts;
+use super::hollow_planner::{set_up, whole_line, HollowPlanner, Request};
+use super::ladder::{Ladder, Sample};
+use super::record::Slope;
+use super::slopes::Options;
+use std::io;
+
+/// Count. Machines where standing tasks grow.
+const MACHINES: usize = 400;
+/// Count. Tasks between two whole lists.
+const TASKS_A_LIST: usize = 1_000;
+/// Seconds between two tasks.
+const GAP_S: f64 = 0.001;
+/// Seconds after the last task until what is kept of its start has lapsed.
+const REST_S: f64 = 20.0;
+/// Cores, and units of memory, that a task asks for.
+const ROOM: f64 = 0.1;
+
+const REAL: &str = "the reducer with its books, the placer and the vocabulary, by the allocator's count";
+const HOLLOW: &str = "no process, no sockets: queues, tasks and buffers of connections are not in it";
+
+/// Against machines.
+pub const MACHINE: Ladder = Ladder {
+    name: "state-machines",
+    question: "How many bytes of state does a planner keep, as machines grow?",
+    size: "machines",
+    held: &[("standing tasks", 0.0)],
+    real: REAL,
+    hollow: HOLLOW,
+    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
+    short: &[20, 100, 400, 1_000],
+    run: by_machines,
+};
+
+/// Against standing tasks.
+pub const TASK: Ladder = Ladder {
+    name: "state-tasks",
+    question: "How many bytes of state does a planner keep, as standing tasks grow?",
+    size: "standing tasks",
+    held: &[("machines", MACHINES as f64), ("services", 1.0)],
+    real: REAL,
+    hollow: HOLLOW,
+    sizes: &[100, 1_000, 5_000, 10_000, 30_000, 60_000],
+    short: &[100, 1_000, 5_000],
+    run: by_tasks,
+};
+
+/// Measures the slope against machines.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure_machines(options: &Options) -> io::Result<Vec<Slope>> {
+    MACHINE.measure(options)
+}
+
+/// Measures the slope against standing tasks.
+///
+/// # Errors
+/// If a run fails.
+pub fn measure_tasks(options: &Options) -> io::Result<Vec<Slope>> {
+    TASK.measure(options)
+}
+
+fn by_machines(machines: usize) -> io::Result<Vec<Sample>> {
+    needs_counts()?;
+    let mut hollow = HollowPlanner::with_machines(machines)?;
+    let held = hollow.take_cost().allocated.held as f64;
+    Ok(vec![
+        Sample::count("bytes of state", "bytes", held),
+        Sample::count("bytes of state a machine", "bytes", held / machines as f64),
+    ])
+}
+
+fn by_tasks(tasks: usize) -> io::Result<Vec<Sample>> {
+    needs_counts()?;
+    let mut hollow = HollowPlanner::with_machines(MACHINES)?;
+    let of_machines = hollow.take_cost().allocated.held as f64;
+    let mut revision = 1;
+    for task in 0..tasks {
+        let id = hollow.next_request();
+        hollow.request(&set_up(&Request { id, service: 7, cores: ROOM, at: None }))?;
+        hollow.advance(GAP_S)?;
+        if task % TASKS_A_LIST == 0 {
+            revision += 1;
+            hollow.list(&whole_line(revision, MACHINES))?;
+        }
+    }
+    hollow.advance(REST_S)?;
+    hollow.list(&whole_line(revision + 1, MACHINES))?;
+    let held = hollow.take_cost().allocated.held as f64;
+    let standing: usize = hollow.machines().map(|machine| hollow.planner.standing_at(machine)).sum();
+    if standing != tasks {
+        return Err(io::Error::other(format!("{standing} of {tasks} tasks stand")));
+    }
+    Ok(vec![
+        Sample::count("bytes of state", "bytes", of_machines + held),
+        Sample::count("bytes of state a standing task", "bytes", held / tasks as f64),
+    ])
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,11 +11,17 @@
 use burlhook_lab::twin;
 use burlhook_lab::Clock;
 use clap::{Parser, Subcommand};
+use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
 use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// Scale tests count allocations.
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
 /// Stand-in nodes, load and rigs for burlhook.
 #[derive(Parser)]
 #[command(version, about)]
--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -465,3 +465,6 @@
         Owner::Rest | Owner::Group { .. } => None,
     }
 }
+
+#[cfg(test)]
+mod tests;
