--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -5,6 +5,7 @@
 pub mod command;
 pub mod config_parse;
 pub mod count;
+pub mod fit;
 pub mod gang_machines;
 pub mod hollow_planner;
 pub mod ladder;
