--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -7,6 +7,7 @@
 pub mod count;
 pub mod fit;
 pub mod gang_machines;
+pub mod hollow_machine;
 pub mod hollow_planner;
 pub mod ladder;
 pub mod list_machines;
