--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -7,6 +7,8 @@
 //! print stand as `\xNN`. In a transcript, ids that the program drew stand as `J1`…, times as `T`.
 #![allow(dead_code)]
 
+pub mod protocol;
+
 use burlhook_lab::node::{Node, Plan};
 use burlhook_lab::Clock;
 use serde_json::{json, Value};
@@ -134,6 +136,13 @@
         self.signal("-HUP");
     }
 
+    /// Has it read a configuration that differs so.
+    pub fn reload_with(&mut self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.config);
+        std::fs::write(&self.path, self.config.to_string()).expect("a configuration");
+        self.signal("-HUP");
+    }
+
     /// Has it read another operators' file, as it stands.
     pub fn reload_operators(&self, text: impl AsRef<[u8]>) {
         std::fs::write(self.operators.as_ref().expect("it has one"), text).expect("an operators' file");
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -3,6 +3,9 @@
 
 mod exchange;
 
+use exchange::protocol::{
+    accept, answered, close, event, give_up, listener, running, set_up, stop, test, told, ANSWER, RELEASE,
+};
 use exchange::{fill, instance, settings, short_box, unescape, Planner, Wire};
 use serde_json::{json, Value};
 use std::io::Read;
@@ -11,90 +14,6 @@
 
 /// Rounds of a crossing in which the program picks at random among what is ready.
 const ROUNDS: u64 = 8;
-/// Causes of releases.
-/// Types of the owners' messages.
-const ANSWER: u8 = 9;
-const RELEASE: u8 = 12;
-
-/// A set-up in the owners' words.
-fn set_up(task: u64, class: &str, wait_ms: u32, body: &str) -> Vec<u8> {
-    let key = format!("{task:016x}");
-    let figures = "cores:1;memory:2;service:00000000000000aa";
-    let wait = wait_ms.to_string();
-    let all = [(3, class), (4, &wait), (7, "c"), (8, figures), (16, &key), (18, body)];
-    message(1, task, &all.map(|(code, text)| (code, text.as_bytes())))
-}
-
-fn message(kind: u8, task: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
-    let mut out = vec![kind];
-    out.extend(task.to_be_bytes());
-    for (code, value) in parameters {
-        out.push(*code);
-        out.extend((value.len() as u16).to_be_bytes());
-        out.extend(*value);
-    }
-    let mut whole = (out.len() as u16).to_be_bytes().to_vec();
-    whole.extend(out);
-    whole
-}
-
-/// A set-up given up.
-fn give_up(task: u64) -> Vec<u8> {
-    message(12, task, &[(17, &[16])])
-}
-
-/// The planner's own test, which every planner answers in its turn.
-fn test(task: u64) -> Vec<u8> {
-    message(52, task, &[(17, &[0])])
-}
-
-fn running(task: u64) -> Vec<u8> {
-    format!("{}\n", json!({"kind": "running", "uid": format!("{task:016x}"), "meta": {}, "body": "here"}))
-        .into()
-}
-
-fn stop(task: u64, cause: u8) -> Vec<u8> {
-    format!("{}\n", json!({"kind": "stop", "uid": format!("{task:016x}"), "meta": {}, "reason": cause}))
-        .into()
-}
-
-fn read(line: &[u8]) -> Value {
-    serde_json::from_slice(line).expect("a message")
-}
-
-/// The number of the task of a line, and its type.
-fn told(line: &[u8]) -> (String, u64) {
-    let said = read(line);
-    let task = u64::from_str_radix(said["uid"].as_str().expect("an id"), 16).expect("an id");
-    (said["kind"].as_str().expect("a type").to_string(), task)
-}
-
-fn listener() -> (TcpListener, String) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("its address").to_string();
-    (listener, address)
-}
-
-fn accept(listener: &TcpListener) -> Wire {
-    Wire::new(listener.accept().expect("the planner connects").0)
-}
-
-/// Closes a connection now: a process that another test just starts may hold its descriptor for a moment more.
-fn close(wire: Wire) {
-    wire.stream.shutdown(Shutdown::Both).expect("it is up");
-}
-
-fn event(rev: u64, instances: &[Value]) -> Vec<u8> {
-    format!("{}\n", json!({"rev": rev, "pool": {"reset": false, "instances": instances}})).into()
-}
-
-/// How an answer to an owner reads: its type, its task, and its cause where it has one.
-fn answered(wire: &mut Wire) -> Option<(u8, u64, Option<u8>)> {
-    let frame = wire.frame()?;
-    let task = u64::from_be_bytes(frame[3..11].try_into().expect("eight bytes"));
-    let cause = (frame[2] == RELEASE).then(|| frame.last().copied()).flatten();
-    Some((frame[2], task, cause))
-}
 
 /// Guards machines against work that nobody waits for: what a client that has left had sent before is read at a measured
 /// pace where part of it cannot be used, and none of it may begin meanwhile.
