--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -445,7 +445,9 @@
                 out.extend(to_client(owner, owner::release(job.0, cause, None)));
             }
             Effect::Say { to, words } => self.say(to, &words, out),
-            Effect::Expel { .. } | Effect::Subscribe | Effect::Changed | Effect::Log(_) => {}
+            // What concerns the connections alone: a simulated one has no timer to set anew.
+            Effect::Watch { .. } | Effect::Expel { .. } => {}
+            Effect::Subscribe | Effect::Changed | Effect::Log(_) => {}
         }
     }
 
