Measure slopes on real planner processes over hollow machines, and compare two programs

Nine slopes in six modules: a planner at rest, for an ask and after a start against machines; at rest against machines with today's 1,024 descriptors; against standing tasks; against planners that share budgets; an ask against the rate; a new operators' file against its size and against how often one comes. Processor time is the sum of the threads' schedstat, memory that of /proc, bytes and messages are counted at the machines, the list and the clients. `capacity compare` runs two programs by turns.

--- a/lab/src/capacity/command.rs
+++ b/lab/src/capacity/command.rs
@@ -1,5 +1,7 @@
 //! The command line of the scale tests: `burlhook-lab capacity`.
 
+use super::bench::SOCKETS;
+use super::compare::{self, Setting, COMPARISON};
 use super::hollow_machine;
 use super::record::{Run, RECORDS};
 use super::slopes::{select, Options, TABLE};
@@ -41,6 +43,36 @@
         #[arg(long, default_value_t = REPEATS)]
         repeats: usize,
     },
+    /// Two programs by turns over hollow machines, and the ratios of what they used.
+    Compare {
+        /// The program before.
+        #[arg(long)]
+        before: PathBuf,
+        /// The program after.
+        #[arg(long)]
+        after: PathBuf,
+        /// Commits of the two programs, for the record.
+        #[arg(long, num_args = 2, default_values = ["", ""])]
+        commits: Vec<String>,
+        /// Smaller sizes, for minutes.
+        #[arg(long)]
+        short: bool,
+        /// Planners that the settings tell of.
+        #[arg(long, default_value_t = 1)]
+        listed: usize,
+        /// Descriptors that the configuration allows each planner.
+        #[arg(long, default_value_t = SOCKETS)]
+        sockets: u32,
+        /// Runs of each program at each size; fewer at the greatest.
+        #[arg(long, default_value_t = REPEATS)]
+        repeats: usize,
+        /// The root of the repository.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+        /// The record, relative to the root.
+        #[arg(long, default_value = COMPARISON)]
+        record: PathBuf,
+    },
     /// Hollow machines until standard input ends, as the slopes start them.
     #[command(hide = true)]
     HollowMachines {
@@ -59,9 +91,25 @@
             let mut run = describe_run(&root, short);
             run.commit = commit.unwrap_or(run.commit);
             eprintln!("capacity: {} on {}", run.commit, run.machine);
-            let options = Options { short, repeats, program: Program::or_own(planner)?, run };
+            let options = Options {
+                short,
+                repeats,
+                program: Program::or_own(planner)?,
+                laboratory: std::env::current_exe()?,
+                run,
+            };
             measure(&slopes, &options, &root.join(records), json)
         }
+        Action::Compare { before, after, commits, short, listed, sockets, repeats, root, record } => {
+            let run = describe_run(&root, short);
+            let (program, laboratory) = (Program::at(&before), std::env::current_exe()?);
+            let options = Options { short, repeats, program, laboratory, run };
+            let setting = Setting { listed, sockets };
+            let comparison = compare::measure(&options, &[before, after], &commits, setting)?;
+            comparison.write(&root.join(record))?;
+            comparison.print();
+            Ok(true)
+        }
         Action::HollowMachines { plan } => {
             hollow_machine::run(&plan)?;
             Ok(true)
--- /dev/null
+++ b/lab/src/capacity/planners.rs
@@ -0,0 +1,136 @@
+//! What planners that share budgets send each other and spend at rest, against their number; all of them processes.
+
+use super::bench::{Scene, MEMORY_MB, SETTLE, SOCKETS, WINDOW};
+use super::figures::Figures;
+use super::hollow_machine::HollowMachines;
+use super::record::Slope;
+use super::slopes::Options;
+use super::usage::Usage;
+use crate::net::{Net, Passed};
+use crate::planner::{address, Planner};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// The slope of this module.
+pub const NAMES: &[&str] = &["rest-planners"];
+
+const SIZES: &[usize] = &[3, 5, 8, 16, 32];
+const SHORT_SIZES: &[usize] = &[3, 4, 5, 6, 8];
+const MACHINES: usize = 8;
+const VOTERS: usize = 3;
+const LEASE_MS: u64 = 3_000;
+const SEED: u64 = 1;
+
+fn name(planner: usize) -> String {
+    format!("p{planner}")
+}
+
+/// The operators' file of a planner: one budget of the fleet, divided.
+fn operators(net: &Net, planners: usize, me: usize, listen: SocketAddr) -> String {
+    let entry = |at: usize| {
+        // Its own entry is never used.
+        let address = if at == me { listen } else { net.address(me, at) };
+        json!({"name": name(at), "address": address.to_string()})
+    };
+    let fleet = json!({"name": "capacity", "own": name(me), "listen": listen.to_string(),
+        "planners": (0..planners).map(entry).collect::<Vec<_>>(), "leaseMs": LEASE_MS, "floorShare": 0.5,
+        "voters": (0..VOTERS).map(name).collect::<Vec<_>>()});
+    let limits = "limits: { default: { totalMs: 1000, attempts: 4 }, \
+                  classes: { stateless: { inFlight: 400, scope: \"fleet\" } } }";
+    format!("{{ fleet: {fleet}, {limits} }}")
+}
+
+/// What one planner of several spends at rest; the mean of all.
+struct Rest {
+    share: f64,
+    resident_kib: f64,
+    datagrams: f64,
+    bytes: f64,
+    machine_bytes: f64,
+}
+
+fn start(options: &Options, hollow: &HollowMachines, net: &Net, planners: usize) -> io::Result<Vec<Planner>> {
+    let mut all = Vec::new();
+    for me in 0..planners {
+        let peers = address()?;
+        let scene = Scene { listed: planners, seed: SEED + me as u64, ..Scene::of(MACHINES) };
+        let file = operators(net, planners, me, peers);
+        all.push(Planner::start(&options.program, &scene.configuration(hollow), Some(&file))?);
+        net.target(me, peers);
+    }
+    Ok(all)
+}
+
+fn measure_one(options: &Options, planners: usize) -> io::Result<Rest> {
+    let hollow = HollowMachines::start(&options.laboratory, &Scene::of(MACHINES).plan)?;
+    let net = Net::start(planners, SEED)?;
+    let running = start(options, &hollow, &net, planners)?;
+    std::thread::sleep(SETTLE);
+    let usage = || running.iter().map(|p| Usage::of(p.id())).collect::<io::Result<Vec<Usage>>>();
+    let (from, before, counts, sent) = (Instant::now(), usage()?, hollow.counts()?, net.counts());
+    std::thread::sleep(WINDOW);
+    let (seconds, after, counts_now, sent_now) =
+        (from.elapsed().as_secs_f64(), usage()?, hollow.counts()?, net.counts());
+    let each = planners as f64;
+    let processor: f64 =
+        before.iter().zip(&after).map(|(b, a)| (a.processor.saturating_sub(b.processor)).as_secs_f64()).sum();
+    let sum = |of: &[Passed], what: fn(&Passed) -> u64| of.iter().map(what).sum::<u64>() as f64;
+    let grew = |what: fn(&Passed) -> u64| (sum(&sent_now, what) - sum(&sent, what)) / each / seconds;
+    let machine_bytes = (counts_now.bytes_in + counts_now.bytes_out) - (counts.bytes_in + counts.bytes_out);
+    Ok(Rest {
+        share: processor / each / seconds,
+        resident_kib: after.iter().map(|u| u.resident_kib as f64).sum::<f64>() / each,
+        datagrams: grew(|passed| passed.came),
+        bytes: grew(|passed| passed.bytes),
+        machine_bytes: machine_bytes as f64 / each / seconds,
+    })
+}
+
+/// Measures the slope.
+///
+/// # Errors
+/// If a process cannot be started or is gone.
+pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
+    let mut figures = Figures::default();
+    for (planners, runs) in options.runs(SIZES, SHORT_SIZES) {
+        for number in 1..=runs {
+            let rest = measure_one(options, planners)?;
+            let size = planners as f64;
+            figures.measured("processor time at rest", "share of a core", size, rest.share);
+            figures.measured("resident memory", "MB", size, rest.resident_kib / 1024.0);
+            figures.measured("bytes a second to other planners", "bytes/s", size, rest.bytes);
+            figures.measured("datagrams a second to other planners", "messages/s", size, rest.datagrams);
+            figures.measured("bytes a second in and out at machines", "bytes/s", size, rest.machine_bytes);
+            eprintln!(
+                "capacity: {planners} planners, run {number} of {runs}: each {:.2}% of a core, {:.0} KiB, sends {:.1} datagrams \
+                 and {:.0} bytes a second",
+                rest.share * 1e2,
+                rest.resident_kib,
+                rest.datagrams,
+                rest.bytes,
+            );
+        }
+    }
+    let held = BTreeMap::from([
+        ("machines".to_string(), MACHINES as f64),
+        ("voters".to_string(), VOTERS as f64),
+        ("budgets".to_string(), 1.0),
+        ("milliseconds of a lease".to_string(), LEASE_MS as f64),
+        ("configured descriptors".to_string(), f64::from(SOCKETS)),
+        ("configured memory, MB".to_string(), MEMORY_MB),
+    ]);
+    Ok(vec![Slope {
+        name: NAMES[0].into(),
+        question: "What a planner sends to others and spends while no ask comes, against the planners that share budgets."
+            .into(),
+        size: "planners".into(),
+        held,
+        real: "all planners' processes, and the datagrams between them, which a relay counts".into(),
+        hollow: "machines and machine list: one process, which answers as the stand-in machine does".into(),
+        run: options.run.clone(),
+        figures: figures.done(),
+    }])
+}
--- a/lab/src/capacity/slopes.rs
+++ b/lab/src/capacity/slopes.rs
@@ -1,8 +1,10 @@
 //! The slopes by name. A slope is measured by a function of its own module; slopes that come from the same runs share one.
 
 use super::record::{Run, Slope};
+use super::{ask_rate, config_rate, config_size, machines, planners, tasks};
 use crate::planner::Program;
 use std::io;
+use std::path::PathBuf;
 
 /// How slopes are measured.
 #[derive(Clone, Debug)]
@@ -13,10 +15,22 @@
     pub repeats: usize,
     /// The planner's program, for slopes that start processes.
     pub program: Program,
+    /// The laboratory's own program, for hollow machines.
+    pub laboratory: PathBuf,
     /// Where and when, as it goes into the records.
     pub run: Run,
 }
 
+impl Options {
+    /// The sizes of a slope, each with its count of runs: at the greatest one run less.
+    pub fn runs(&self, sizes: &[usize], short: &[usize]) -> Vec<(usize, usize)> {
+        let sizes = if self.short { short } else { sizes };
+        let most = sizes.iter().max();
+        let repeats = |size| if Some(size) == most { self.repeats - 1 } else { self.repeats };
+        sizes.iter().map(|size| (*size, repeats(size).max(1))).collect()
+    }
+}
+
 /// Measures slopes, with a line on standard error for each run.
 pub type Measure = fn(&Options) -> io::Result<Vec<Slope>>;
 
@@ -30,7 +44,15 @@
 }
 
 /// All slopes, in the order in which they are measured.
-pub const TABLE: &[Entry] = &[];
+pub const TABLE: &[Entry] = &[
+    Entry { names: machines::NAMES, measure: machines::measure },
+    Entry { names: machines::TODAY, measure: machines::measure_today },
+    Entry { names: tasks::NAMES, measure: tasks::measure },
+    Entry { names: planners::NAMES, measure: planners::measure },
+    Entry { names: ask_rate::NAMES, measure: ask_rate::measure },
+    Entry { names: config_size::NAMES, measure: config_size::measure },
+    Entry { names: config_rate::NAMES, measure: config_rate::measure },
+];
 
 /// The entries that measure the named slopes, each once; all of them if none is named.
 ///
@@ -45,3 +67,6 @@
     let wanted = |entry: &&Entry| names.is_empty() || names.iter().any(|n| entry.names.contains(&n.as_str()));
     Ok(table.iter().filter(wanted).collect())
 }
+
+#[cfg(test)]
+mod tests;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -82,6 +82,8 @@
     pub told_when: u64,
     /// When the end of a task that stood was told on the platform's front, by its id.
     pub released: Vec<(u64, Instant)>,
+    /// Bytes of messages to the platform's front, and from it.
+    pub bytes: (u64, u64),
     /// Microseconds until the answer of those that were placed.
     pub placed_us: Histogram<u64>,
     /// Microseconds until the answer of those that were turned away.
@@ -98,6 +100,7 @@
             twice: 0,
             told_when: 0,
             released: Vec::new(),
+            bytes: (0, 0),
             placed_us: histogram(),
             turned_us: histogram(),
         }
@@ -364,13 +367,21 @@
 struct Owner {
     write: tokio::sync::Mutex<OwnedWriteHalf>,
     waiting: Waiting,
+    tally: Shared,
     closed: Arc<AtomicBool>,
 }
 
-fn parameter(code: u8, value: &str) -> Vec<u8> {
+/// A parameter of a client's message.
+pub(crate) fn parameter(code: u8, value: &str) -> Vec<u8> {
     [&[code][..], &(value.len() as u16).to_be_bytes(), value.as_bytes()].concat()
 }
 
+/// A client's message with its parameters.
+pub(crate) fn message(kind: u8, id: u64, parameters: &[u8]) -> Vec<u8> {
+    let message = [&[kind][..], &id.to_be_bytes(), parameters].concat();
+    [&(message.len() as u16).to_be_bytes()[..], &message].concat()
+}
+
 impl Owner {
     async fn connect(to: SocketAddr, tally: Shared) -> io::Result<Arc<Owner>> {
         let stream = TcpStream::connect(to).await?;
@@ -378,16 +389,14 @@
         let (read, write) = stream.into_split();
         let waiting: Waiting = Arc::default();
         let closed = Arc::new(AtomicBool::new(false));
-        tokio::spawn(hear(read, waiting.clone(), tally, closed.clone()));
-        Ok(Arc::new(Owner { write: tokio::sync::Mutex::new(write), waiting, closed }))
+        tokio::spawn(hear(read, waiting.clone(), tally.clone(), closed.clone()));
+        Ok(Arc::new(Owner { write: tokio::sync::Mutex::new(write), waiting, tally, closed }))
     }
 
     async fn ask(&self, id: u64, ask: &Ask) -> (End, bool) {
         let service = format!("{:016x}", ask.service_number);
         let key = ask.key.as_ref().map(|key| parameter(16, key)).unwrap_or_default();
-        let message = [
-            vec![1],
-            id.to_be_bytes().to_vec(),
+        let parameters = [
             parameter(3, ask.class),
             parameter(4, &ask.deadline.as_millis().to_string()),
             parameter(7, &format!("{id:016x}")),
@@ -401,7 +410,8 @@
         if self.closed.load(Ordering::Acquire) {
             return (End::Unanswered, false);
         }
-        let bytes = [&(message.len() as u16).to_be_bytes()[..], &message].concat();
+        let bytes = message(1, id, &parameters);
+        with(&self.tally, |tally| tally.bytes.0 += bytes.len() as u64);
         if self.write.lock().await.write_all(&bytes).await.is_err() {
             return (End::Unanswered, false);
         }
@@ -417,6 +427,7 @@
         if read.read_exact(&mut message).await.is_err() || message.len() < 9 {
             break;
         }
+        with(&tally, |tally| tally.bytes.1 += 2 + u64::from(length));
         let mut id = [0; 8];
         id.copy_from_slice(&message[1..9]);
         let id = u64::from_be_bytes(id);
--- a/lab/src/planner.rs
+++ b/lab/src/planner.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant, SystemTime};
 
 /// How a planner is started.
 #[derive(Clone, Debug)]
@@ -53,6 +53,10 @@
     pub owners: SocketAddr,
     /// Where its REST front listens, where it has one.
     pub rest: Option<SocketAddr>,
+    /// When its process was started.
+    pub spawned: SystemTime,
+    /// From then until it listened.
+    pub ready_after: Duration,
     config: PathBuf,
     operators: Option<PathBuf>,
 }
@@ -133,6 +137,7 @@
             std::fs::write(file, text)?;
             command.arg(&program.operators_flag).arg(file);
         }
+        let (spawned, from) = (SystemTime::now(), Instant::now());
         let mut child = command.spawn()?;
         let mut log = BufReader::new(child.stderr.take().ok_or_else(|| io::Error::other("it has no log"))?);
         let has = |section: &str| operators.is_some_and(|text| text.contains(section));
@@ -152,10 +157,17 @@
             }
             said += &line;
         }
+        let ready_after = from.elapsed();
         // Its log is read to the end, so that it never waits for a reader.
         std::thread::spawn(move || io::copy(&mut log, &mut io::sink()));
         let owners = owners.ok_or_else(|| io::Error::other("it listens nowhere"))?;
-        Ok(Planner { child, owners, rest, config: path, operators: file.map(|(file, _)| file) })
+        let operators = file.map(|(file, _)| file);
+        Ok(Planner { child, owners, rest, spawned, ready_after, config: path, operators })
+    }
+
+    /// The number of its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
     /// Sends it a signal, by its name without SIG.
@@ -224,8 +236,8 @@
     /// If it does not end in time, or not well.
     pub fn stop(mut self, patience: Duration) -> io::Result<()> {
         self.signal("TERM")?;
-        let until = std::time::Instant::now() + patience;
-        while std::time::Instant::now() < until {
+        let until = Instant::now() + patience;
+        while Instant::now() < until {
             match self.child.try_wait()? {
                 Some(status) if status.success() => return Ok(()),
                 Some(status) => return Err(io::Error::other(format!("it ended with {status}"))),
--- /dev/null
+++ b/lab/tests/capacity.rs
@@ -0,0 +1,39 @@
+//! A planner process over hollow machines, held to counts: what is measured of it in the scale tests is what it did.
+
+use burlhook_lab::capacity::bench::{Bench, Scene};
+use burlhook_lab::capacity::record::Run;
+use burlhook_lab::capacity::slopes::Options;
+use burlhook_lab::capacity::standing;
+use burlhook_lab::load::End;
+use burlhook_lab::planner::Program;
+use std::time::Duration;
+
+const MACHINES: usize = 20;
+
+fn options() -> Options {
+    let laboratory = env!("CARGO_BIN_EXE_burlhook-lab");
+    let program = Program { words: vec!["planner".into()], ..Program::at(laboratory) };
+    let run = Run { date: String::new(), commit: String::new(), machine: String::new(), short: true };
+    Options { short: true, repeats: 1, program, laboratory: laboratory.into(), run }
+}
+
+#[test]
+fn every_ask_is_counted_at_the_machines() {
+    let bench = Bench::start(&options(), Scene::of(MACHINES)).expect("planner and machines");
+    assert_eq!(bench.reach().expect("a start").machines, MACHINES as u64);
+    let asks = bench.ask(50.0, Duration::from_secs(1), 0).expect("asks");
+    assert_eq!((asks.tally.asked, asks.tally.answered(), asks.tally.twice), (50, 50, 0));
+    let counts = bench.hollow.counts().expect("counts");
+    assert_eq!(counts.launches - counts.refused, asks.tally.count(End::Placed));
+    assert_eq!(counts.held + counts.ended, asks.tally.count(End::Placed));
+    assert!(counts.open >= MACHINES as u64 && counts.list_in > 0);
+    assert!(!asks.window.processor.is_zero() && asks.window.resident_kib > 0);
+}
+
+#[test]
+fn standing_tasks_are_taken_in_and_none_is_set_up_anew() {
+    let bench = Bench::start(&options(), Scene::of(MACHINES)).expect("planner and machines");
+    bench.reach().expect("a start");
+    standing::hand_over(bench.planner.owners, 500, MACHINES).expect("taken in");
+    assert_eq!(bench.hollow.counts().expect("counts").launches, 0);
+}
