--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -4,3 +4,4 @@
 pub mod command;
 pub mod fit;
 pub mod record;
+pub mod slopes;
