Write the tables of docs/CAPACITY.md from the records, and hold the page against them

Need: what each part of the program costs at the operators' size in two years, with no figure that nobody measured and none computed by hand.

Rows, targets and assumptions are typed tables in code. A fit takes a size of 0 now (standing tasks).

No record is in yet, so that all rows say "not measured".

--- a/lab/src/capacity/command.rs
+++ b/lab/src/capacity/command.rs
@@ -1,5 +1,6 @@
 //! The command line of the scale tests: `burlhook-lab capacity`.
 
+use super::page::{self, PageError};
 use super::record::{Run, RECORDS};
 use super::slopes::{select, Options, TABLE};
 use crate::planner::Program;
@@ -40,6 +41,21 @@
         #[arg(long, default_value_t = REPEATS)]
         repeats: usize,
     },
+    /// Fits all figures of the records anew and writes the records.
+    Fit {
+        /// The root of the repository.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
+    /// Writes the tables of docs/CAPACITY.md from the records.
+    Page {
+        /// Writes nothing, and fails where page and records differ.
+        #[arg(long)]
+        check: bool,
+        /// The root of the repository.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
 }
 
 /// Carries out an action.
@@ -55,9 +71,17 @@
             let options = Options { short, repeats, program: Program::or_own(planner)?, run };
             measure(&slopes, &options, &root.join(records), json)
         }
+        Action::Fit { root } => done(page::fit(&root)),
+        Action::Page { check: true, root } => done(page::check(&root)),
+        Action::Page { check: false, root } => done(page::write(&root)),
     }
 }
 
+/// An error goes to the command line as it stands.
+fn done(outcome: Result<(), PageError>) -> io::Result<bool> {
+    outcome.map(|()| true).map_err(io::Error::other)
+}
+
 fn measure(names: &[String], options: &Options, records: &Path, json: bool) -> io::Result<bool> {
     for entry in select(TABLE, names)? {
         for slope in (entry.measure)(options)? {
--- a/lab/src/capacity/fit.rs
+++ b/lab/src/capacity/fit.rs
@@ -48,8 +48,8 @@
         /// The sizes that it has.
         has: usize,
     },
-    /// The sizes are not positive numbers in ascending order.
-    #[error("{figure}: sizes must be positive and ascend")]
+    /// The sizes are not numbers from 0 on in ascending order.
+    #[error("{figure}: sizes must be 0 or more and ascend")]
     SizesOutOfOrder {
         /// The figure.
         figure: String,
@@ -160,7 +160,7 @@
         return Err(FitError::TooFewSizes { figure: named(), has: sizes.len() });
     }
     let ascending = sizes.windows(2).all(|pair| pair[0] < pair[1]);
-    if !ascending || sizes[0] <= 0.0 || !sizes.iter().all(|size| size.is_finite()) {
+    if !ascending || sizes[0] < 0.0 || !sizes.iter().all(|size| size.is_finite()) {
         return Err(FitError::SizesOutOfOrder { figure: named() });
     }
     let usable =
@@ -293,6 +293,8 @@
     match shape {
         Shape::Constant => 1.0,
         Shape::Linear => size,
+        // What it tends to at 0.
+        Shape::NLogN if size == 0.0 => 0.0,
         Shape::NLogN => size * size.ln(),
         Shape::Square => size * size,
     }
--- a/lab/src/capacity/fit/tests.rs
+++ b/lab/src/capacity/fit/tests.rs
@@ -143,6 +143,10 @@
     let mut twice = figure(1, 0.0, 0, |size| size);
     twice.points[1].size = 20.0;
     assert!(matches!(twice.fit(), Err(FitError::SizesOutOfOrder { .. })));
+
+    let mut negative = figure(1, 0.0, 0, |size| size);
+    negative.points[0].size = -1.0;
+    assert!(matches!(negative.fit(), Err(FitError::SizesOutOfOrder { .. })));
 }
 
 #[test]
@@ -166,3 +170,15 @@
     figure.fit().unwrap();
     assert_eq!(figure.fit.unwrap().held_out.off_by, 1.0);
 }
+
+#[test]
+fn a_size_of_none_is_a_size() {
+    for shape in SHAPES {
+        let mut figure = figure(1, 0.0, 0, |_| 0.0);
+        figure.points[0].size = 0.0;
+        let truth = truth_of(shape);
+        figure.points.iter_mut().for_each(|point| point.values = vec![truth(point.size)]);
+        figure.fit().unwrap();
+        assert_eq!(figure.fit.unwrap().shape, shape);
+    }
+}
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -3,5 +3,10 @@
 
 pub mod command;
 pub mod fit;
+pub mod missing;
+pub mod page;
+pub mod reasons;
 pub mod record;
+pub mod rows;
 pub mod slopes;
+pub mod targets;
--- /dev/null
+++ b/lab/src/capacity/page/comparison.rs
@@ -0,0 +1,66 @@
+//! Two programs side by side, as the page shows them.
+
+use super::number::{head, line, number};
+use super::{COMPARISON, NOT_MEASURED};
+use crate::capacity::record::{Point, Run};
+use serde::Deserialize;
+
+/// The record of two programs that were measured by turns in one run.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Comparison {
+    /// Where and when.
+    pub run: Run,
+    /// The commits of the programs.
+    pub commits: Vec<String>,
+    /// What was measured.
+    pub figures: Vec<Compared>,
+}
+
+/// A figure of both programs.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Compared {
+    /// Its name.
+    pub name: String,
+    /// Its unit.
+    pub unit: String,
+    /// Before, by machines.
+    pub before: Vec<Point>,
+    /// After, by machines.
+    pub after: Vec<Point>,
+}
+
+/// The table: a line for each figure, a column for each size.
+pub fn table(comparison: Option<&Comparison>) -> String {
+    let Some(comparison) = comparison else { return format!("{NOT_MEASURED}\n") };
+    let commits = comparison.commits.join(" and ");
+    let form = if comparison.run.short { ", short form" } else { "" };
+    let mut text = format!(
+        "[{COMPARISON}]({COMPARISON}): medians before and after, {commits}, by turns in one run{form} ({}, {}), by machines.\n\n",
+        comparison.run.date, comparison.run.machine
+    );
+    let sizes = sizes(comparison);
+    let names: Vec<String> =
+        std::iter::once("figure".into()).chain(sizes.iter().map(|size| number(*size))).collect();
+    text += &head(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    for figure in &comparison.figures {
+        let name = format!("{}, {}", figure.name, figure.unit);
+        let both = sizes
+            .iter()
+            .map(|&size| format!("{} and {}", median(&figure.before, size), median(&figure.after, size)));
+        text += &line(&std::iter::once(name).chain(both).collect::<Vec<String>>());
+    }
+    text
+}
+
+fn sizes(comparison: &Comparison) -> Vec<f64> {
+    let points = comparison.figures.iter().flat_map(|figure| figure.before.iter().chain(&figure.after));
+    let mut sizes: Vec<f64> = points.map(|point| point.size).collect();
+    sizes.sort_by(f64::total_cmp);
+    sizes.dedup();
+    sizes
+}
+
+fn median(points: &[Point], size: f64) -> String {
+    let point = points.iter().find(|point| point.size == size);
+    point.map_or(NOT_MEASURED.into(), |point| number(point.median()))
+}
--- /dev/null
+++ b/lab/src/capacity/reasons.rs
@@ -0,0 +1,24 @@
+//! Why a prediction was further off than it may be: the sentences that no computation can give. A test of the page holds
+//! that none is missing.
+
+/// Share of what was measured by which a prediction may be off without a reason.
+pub const OFF_WITHOUT_REASON: f64 = 0.2;
+
+/// A reason.
+#[derive(Clone, Copy, Debug)]
+pub struct Reason {
+    /// The slope.
+    pub slope: &'static str,
+    /// The figure.
+    pub figure: &'static str,
+    /// Why its prediction is off.
+    pub why: &'static str,
+}
+
+/// All reasons.
+pub const REASONS: &[Reason] = &[];
+
+/// The reason for a figure.
+pub fn of(slope: &str, figure: &str) -> Option<&'static str> {
+    REASONS.iter().find(|reason| reason.slope == slope && reason.figure == figure).map(|reason| reason.why)
+}
--- a/lab/src/capacity/record.rs
+++ b/lab/src/capacity/record.rs
@@ -119,6 +119,42 @@
     pub off_by: f64,
 }
 
+/// Share by which two computations of one fit may differ: rounding, and decimals on the way through the file.
+const ROUNDING: f64 = 1e-6;
+
+impl Fit {
+    /// Whether another computation came to the same fit, but for rounding.
+    pub fn agrees(&self, other: &Fit) -> bool {
+        let slopes = match (self.slope, other.slope) {
+            (None, None) => true,
+            (Some(slope), Some(other)) => slope.agrees(other),
+            _ => false,
+        };
+        let (held_out, others) = (&self.held_out, &other.held_out);
+        self.shape == other.shape
+            && slopes
+            && self.intercept.agrees(other.intercept)
+            && held_out.size == others.size
+            && held_out.predicted.agrees(others.predicted)
+            && near(held_out.measured, others.measured, held_out.measured)
+            && near(held_out.off_by, others.off_by, 1.0)
+    }
+}
+
+impl Estimate {
+    fn agrees(self, other: Estimate) -> bool {
+        let scale = self.value.abs().max(self.high.abs()).max(self.low.abs());
+        near(self.value, other.value, scale)
+            && near(self.low, other.low, scale)
+            && near(self.high, other.high, scale)
+    }
+}
+
+/// Whether two values differ by rounding alone, beside values of that scale.
+fn near(a: f64, b: f64, scale: f64) -> bool {
+    (a - b).abs() <= ROUNDING * scale.abs()
+}
+
 impl Point {
     /// The median of its values; not a number if there are none.
     pub fn median(&self) -> f64 {
