--- a/lab/src/capacity/command.rs
+++ b/lab/src/capacity/command.rs
@@ -3,6 +3,7 @@
 use super::bench::SOCKETS;
 use super::compare::{self, Setting, COMPARISON};
 use super::hollow_machine;
+use super::page::{self, PageError};
 use super::record::{Run, RECORDS};
 use super::slopes::{select, Options, TABLE};
 use crate::planner::Program;
@@ -79,6 +80,21 @@
         /// How they behave, as JSON.
         plan: String,
     },
+    /// Fits all figures of the records anew and writes the records.
+    Fit {
+        /// The root of the repository.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
+    /// Writes the tables of docs/CAPACITY.md from the records.
+    Page {
+        /// Writes nothing, and fails where page and records differ.
+        #[arg(long)]
+        check: bool,
+        /// The root of the repository.
+        #[arg(long, default_value = ".")]
+        root: PathBuf,
+    },
 }
 
 /// Carries out an action.
@@ -114,9 +130,17 @@
             hollow_machine::run(&plan)?;
             Ok(true)
         }
+        Action::Fit { root } => done(page::fit(&root)),
+        Action::Page { check: true, root } => done(page::check(&root)),
+        Action::Page { check: false, root } => done(page::write(&root)),
     }
 }
 
+/// An error goes to the command line as it stands.
+fn done(outcome: Result<(), PageError>) -> io::Result<bool> {
+    outcome.map(|()| true).map_err(io::Error::other)
+}
+
 fn measure(names: &[String], options: &Options, records: &Path, json: bool) -> io::Result<bool> {
     for entry in select(TABLE, names)? {
         for slope in (entry.measure)(options)? {
--- a/lab/src/capacity/slopes.rs
+++ b/lab/src/capacity/slopes.rs
@@ -1,7 +1,10 @@
 //! The slopes by name. A slope is measured by a function of its own module; slopes that come from the same runs share one.
 
 use super::record::{Run, Slope};
-use super::{ask_rate, config_rate, config_size, machines, planners, tasks};
+use super::{
+    admission, ask_rate, config_parse, config_rate, config_size, gang_machines, list_machines, machines,
+    members, pick_machines, planners, rest_hollow, restart_hollow, state, tasks,
+};
 use crate::planner::Program;
 use std::io;
 use std::path::PathBuf;
@@ -52,6 +55,19 @@
     Entry { names: ask_rate::NAMES, measure: ask_rate::measure },
     Entry { names: config_size::NAMES, measure: config_size::measure },
     Entry { names: config_rate::NAMES, measure: config_rate::measure },
+    Entry { names: &["pick-machines"], measure: pick_machines::measure },
+    Entry { names: &["admission-routes"], measure: admission::measure_routes },
+    Entry { names: &["admission-quotas"], measure: admission::measure_quotas },
+    Entry { names: &["gang-machines"], measure: gang_machines::measure },
+    Entry { names: &["config-parse"], measure: config_parse::measure },
+    Entry { names: &["list-machines"], measure: list_machines::measure },
+    Entry { names: &["restart-hollow"], measure: restart_hollow::measure_machines },
+    Entry { names: &["restart-hollow-tasks"], measure: restart_hollow::measure_tasks },
+    Entry { names: &["state-machines"], measure: state::measure_machines },
+    Entry { names: &["state-tasks"], measure: state::measure_tasks },
+    Entry { names: &["members"], measure: members::measure_rest },
+    Entry { names: &["members-busy"], measure: members::measure_busy },
+    Entry { names: &["rest-hollow"], measure: rest_hollow::measure },
 ];
 
 /// The entries that measure the named slopes, each once; all of them if none is named.
