--- a/lab/src/capacity/compare.rs
+++ b/lab/src/capacity/compare.rs
@@ -117,18 +117,18 @@
     let rest = bench.rest()?;
     let asks = bench.ask(RATE, SPAN, 1 << 32)?;
     let values = vec![
-        ("time to ready", "ms", started.ready.as_secs_f64() * 1e3),
+        ("from start to ready", "ms", started.ready.as_secs_f64() * 1e3),
         ("machines reached", "count", started.machines as f64),
         ("processor time at rest", "share of a core", rest.share()),
         ("resident memory", "MB", rest.resident_mb()),
         ("resident memory after asks", "MB", asks.window.resident_mb()),
-        ("bytes a second in", "bytes/s", rest.bytes_in()),
-        ("bytes a second out", "bytes/s", rest.bytes_out()),
+        ("bytes in at rest", "bytes/s", rest.bytes_in()),
+        ("bytes out at rest", "bytes/s", rest.bytes_out()),
         ("open connections", "count", rest.open() as f64),
-        ("processor time an ask, with rest", "ms", asks.total_ms()),
-        ("processor time an ask", "ms", asks.own_ms(rest.share())),
-        ("p50 of the answer", "ms", asks.placed_ms(0.5)),
-        ("p99 of the answer", "ms", asks.placed_ms(0.99)),
+        ("processor time an ask, all in all", "ms", asks.total_ms()),
+        ("processor time an ask, without rest", "ms", asks.own_ms(rest.share())),
+        ("answer, p50", "ms", asks.placed_ms(0.5)),
+        ("answer, p99", "ms", asks.placed_ms(0.99)),
         ("failed or unanswered", "count", asks.failed() as f64),
         ("share placed", "share", asks.placed_share()),
     ];
--- a/lab/src/capacity/config_rate.rs
+++ b/lab/src/capacity/config_rate.rs
@@ -82,7 +82,7 @@
             let cost = measure_one(&bench, per_ks, span, &mut turn)?;
             let size = per_ks as f64 / 1e3;
             figures.measured("processor time of changes", "share of a core", size, cost.share - rest_share);
-            figures.measured("time to in force", "ms", size, cost.in_force_ms);
+            figures.measured("from the last write to in force", "ms", size, cost.in_force_ms);
             figures.counted("changes", "count", size, cost.changes as f64);
             eprintln!(
                 "capacity: {size} changes a second, run {number} of {}: {} changes, {:.2}% of a core beyond rest, in force \
--- a/lab/src/capacity/config_size.rs
+++ b/lab/src/capacity/config_size.rs
@@ -102,11 +102,11 @@
             generation += 1;
             let Change { in_force_ms, processor_ms } = change(&bench, &text, generation, share)?;
             let size = *routes as f64;
-            figures.measured("time to in force", "ms", size, in_force_ms);
+            figures.measured("from write to in force", "ms", size, in_force_ms);
             figures.measured("processor time of a change", "ms", size, processor_ms);
             figures.counted("bytes of the file", "bytes", size, text.len() as f64);
             let resident_kib = Usage::of(bench.planner.id())?.resident_kib as f64;
-            figures.measured("resident memory", "MB", size, resident_kib / 1024.0);
+            figures.measured("resident memory", "KiB", size, resident_kib);
             eprintln!(
                 "capacity: {routes} routes, run {number} of {}: in force after {in_force_ms:.1} ms, {processor_ms:.1} ms of \
                  processor time",
--- a/lab/src/capacity/machines.rs
+++ b/lab/src/capacity/machines.rs
@@ -55,29 +55,28 @@
 
 fn add_rest(figures: &mut Figures, size: f64, rest: &Window) {
     figures.measured("processor time at rest", "share of a core", size, rest.share());
-    figures.measured("resident memory", "MB", size, rest.resident_mb());
-    figures.measured("bytes a second in and out", "bytes/s", size, rest.bytes_in() + rest.bytes_out());
-    figures.measured("bytes a second in", "bytes/s", size, rest.bytes_in());
-    figures.measured("bytes a second out", "bytes/s", size, rest.bytes_out());
-    figures.measured("tests a second", "messages/s", size, rest.rate(|counts| counts.checks));
-    figures.measured("messages a second", "messages/s", size, rest.rate(|counts| counts.messages()));
-    figures.measured("dials a second", "connections/s", size, rest.rate(|counts| counts.accepted));
+    figures.measured("resident memory", "KiB", size, rest.resident_kib as f64);
+    figures.measured("bytes in at rest", "bytes/s", size, rest.bytes_in());
+    figures.measured("bytes out at rest", "bytes/s", size, rest.bytes_out());
+    figures.measured("tests at rest", "messages/s", size, rest.rate(|counts| counts.checks));
+    figures.measured("messages at rest", "messages/s", size, rest.rate(|counts| counts.messages()));
+    figures.measured("dials at rest", "connections/s", size, rest.rate(|counts| counts.accepted));
     figures.measured("open connections", "count", size, rest.open() as f64);
 }
 
 fn add_start(figures: &mut Figures, size: f64, started: &Started) {
-    figures.measured("time to ready", "ms", size, started.ready.as_secs_f64() * 1e3);
-    figures.measured("time to all machines reached", "ms", size, started.reached.as_secs_f64() * 1e3);
-    figures.measured("processor time of a start", "ms", size, started.processor.as_secs_f64() * 1e3);
+    figures.measured("from start to ready", "ms", size, started.ready.as_secs_f64() * 1e3);
+    figures.measured("from start to all machines reached", "ms", size, started.reached.as_secs_f64() * 1e3);
+    figures.measured("processor time of the start", "ms", size, started.processor.as_secs_f64() * 1e3);
     figures.measured("machines reached", "count", size, started.machines as f64);
 }
 
 /// Adds what came of asks, as all slopes of asks have it.
 pub(super) fn add_asks(figures: &mut Figures, size: f64, asks: &Asks, rest_share: f64) {
-    figures.measured("processor time an ask, with rest", "ms", size, asks.total_ms());
-    figures.measured("processor time an ask", "ms", size, asks.own_ms(rest_share));
-    figures.measured("p50 of the answer", "ms", size, asks.placed_ms(0.5));
-    figures.measured("p99 of the answer", "ms", size, asks.placed_ms(0.99));
+    figures.measured("processor time an ask, all in all", "ms", size, asks.total_ms());
+    figures.measured("processor time an ask, without rest", "ms", size, asks.own_ms(rest_share));
+    figures.measured("answer, p50", "ms", size, asks.placed_ms(0.5));
+    figures.measured("answer, p99", "ms", size, asks.placed_ms(0.99));
     figures.measured("asks", "count", size, asks.tally.asked as f64);
     figures.measured("answered", "count", size, asks.tally.answered() as f64);
     figures.measured("failed or unanswered", "count", size, asks.failed() as f64);
@@ -107,7 +106,7 @@
             add_asks(&mut ask, size, kept_up, share);
             ask.measured("asks a second", "asks/s", size, kept_up.rate);
             ask.measured("processor time at rest", "share of a core", size, share);
-            ask.measured("p99 of the answer at 200 a second", "ms", size, usual.placed_ms(0.99));
+            ask.measured("answer at 200 a second, p99", "ms", size, usual.placed_ms(0.99));
             ask.measured("failed at 200 a second", "count", size, usual.failed() as f64);
             eprintln!(
                 "capacity: {machines} machines, run {number} of {runs}: ready {:.2} s, {} reached after {:.2} s; at rest \
--- a/lab/src/capacity/planners.rs
+++ b/lab/src/capacity/planners.rs
@@ -100,10 +100,10 @@
             let rest = measure_one(options, planners)?;
             let size = planners as f64;
             figures.measured("processor time at rest", "share of a core", size, rest.share);
-            figures.measured("resident memory", "MB", size, rest.resident_kib / 1024.0);
-            figures.measured("bytes a second to other planners", "bytes/s", size, rest.bytes);
-            figures.measured("datagrams a second to other planners", "messages/s", size, rest.datagrams);
-            figures.measured("bytes a second in and out at machines", "bytes/s", size, rest.machine_bytes);
+            figures.measured("resident memory", "KiB", size, rest.resident_kib);
+            figures.measured("bytes to other planners", "bytes/s", size, rest.bytes);
+            figures.measured("datagrams to other planners", "messages/s", size, rest.datagrams);
+            figures.measured("bytes to and from machines", "bytes/s", size, rest.machine_bytes);
             eprintln!(
                 "capacity: {planners} planners, run {number} of {runs}: each {:.2}% of a core, {:.0} KiB, sends {:.1} datagrams \
                  and {:.0} bytes a second",
--- a/lab/src/capacity/tasks.rs
+++ b/lab/src/capacity/tasks.rs
@@ -42,19 +42,13 @@
             let Run { taken_in, handed, rest } = measure_one(options, tasks)?;
             let size = tasks as f64;
             at_rest.measured("processor time at rest", "share of a core", size, rest.share());
-            at_rest.measured("resident memory", "MB", size, rest.resident_mb());
-            at_rest.measured(
-                "bytes a second in and out",
-                "bytes/s",
-                size,
-                rest.bytes_in() + rest.bytes_out(),
-            );
-            at_rest.measured("bytes a second in", "bytes/s", size, rest.bytes_in());
-            at_rest.measured("bytes a second out", "bytes/s", size, rest.bytes_out());
-            at_rest.measured("dials a second", "connections/s", size, rest.rate(|counts| counts.accepted));
-            at_rest.measured("tests a second", "messages/s", size, rest.rate(|counts| counts.checks));
+            at_rest.measured("resident memory", "KiB", size, rest.resident_kib as f64);
+            at_rest.measured("bytes in at rest", "bytes/s", size, rest.bytes_in());
+            at_rest.measured("bytes out at rest", "bytes/s", size, rest.bytes_out());
+            at_rest.measured("dials at rest", "connections/s", size, rest.rate(|counts| counts.accepted));
+            at_rest.measured("tests at rest", "messages/s", size, rest.rate(|counts| counts.checks));
             let ms = |time: Duration| time.as_secs_f64() * 1e3;
-            restart.measured("time to all taken in", "ms", size, ms(taken_in));
+            restart.measured("from the first task to all taken in", "ms", size, ms(taken_in));
             restart.measured("processor time to take them in", "ms", size, ms(handed.processor));
             eprintln!(
                 "capacity: {tasks} tasks, run {number} of {runs}: taken in after {:.0} ms ({:.0} ms of processor time); \
