--- a/lab/src/capacity/ladder/tests.rs
+++ b/lab/src/capacity/ladder/tests.rs
@@ -32,7 +32,7 @@
 
 fn options() -> Options {
     let run = Run { date: String::new(), commit: String::new(), machine: String::new(), short: true };
-    Options { short: true, repeats: 3, program: Program::at("none"), run }
+    Options { short: true, repeats: 3, program: Program::at("none"), laboratory: "none".into(), run }
 }
 
 #[test]
