Read what comes with each machine or team in proportion to their number

Need: the bytes of list changes and of configuration files were multiplied by the rate of the whole target, so that the size at which they break their bound was that of one change and not of as many as come at that size.

Change: a reading may be multiplied by the size as well. Sizes and bounds are written with all digits.

--- a/lab/src/capacity/missing.rs
+++ b/lab/src/capacity/missing.rs
@@ -39,6 +39,12 @@
         takes: "numbered changes by route over a list and watch with bookmarks, as the machine list has; a holder with three \
                 replicas; checks of one route against the table in force; the number in force in `GET /v1/limits`",
     },
+    Missing {
+        name: "Votes that do not grow with planners",
+        felt: Felt::Rows(&["voter-bytes", "voter-busy-bytes", "members-bytes"]),
+        today: "each planner claims its slot at every voter four times a lease, so that a voter hears and answers all planners                 (`decide/fleet`, `decide/fleet/voter`)",
+        takes: "first longer leases, a setting (`leaseMs`): what voters hear falls in proportion; then voters by slot, a few of                 many chosen by the slot's draw, so that each hears a part of the planners",
+    },
     Missing {
         name: "Standing tasks beyond one planner's memory",
         felt: Felt::Rows(&["state-tasks", "rest-tasks-memory", "rest-tasks-processor"]),
--- a/lab/src/capacity/page/comparison.rs
+++ b/lab/src/capacity/page/comparison.rs
@@ -1,6 +1,6 @@
 //! Two programs side by side, as the page shows them.
 
-use super::number::{head, line, number};
+use super::number::{head, line, number, whole};
 use super::{COMPARISON, NOT_MEASURED};
 use crate::capacity::record::{Point, Run};
 use serde::Deserialize;
@@ -40,7 +40,7 @@
     );
     let sizes = sizes(comparison);
     let names: Vec<String> =
-        std::iter::once("figure".into()).chain(sizes.iter().map(|size| number(*size))).collect();
+        std::iter::once("figure".into()).chain(sizes.iter().map(|size| whole(*size))).collect();
     text += &head(&names.iter().map(String::as_str).collect::<Vec<_>>());
     for figure in &comparison.figures {
         let name = format!("{}, {}", figure.name, figure.unit);
--- a/lab/src/capacity/page/number.rs
+++ b/lab/src/capacity/page/number.rs
@@ -27,6 +27,14 @@
     }
 }
 
+/// A size or a bound: all digits of a whole number.
+pub fn whole(value: f64) -> String {
+    match value.is_finite() && value.fract() == 0.0 {
+        true => with_commas(value),
+        false => number(value),
+    }
+}
+
 fn with_commas(value: f64) -> String {
     let digits = format!("{:.0}", value.abs());
     let mut text = String::new();
--- a/lab/src/capacity/page/planners.rs
+++ b/lab/src/capacity/page/planners.rs
@@ -1,7 +1,7 @@
 //! How many planners the size needs, from what one of them serves and what its control costs, against the machines that
 //! it sees.
 
-use super::number::{head, line, number, percent};
+use super::number::{head, line, number, percent, whole};
 use super::reading::{Reading, Records, Source};
 use super::{PageError, NOT_MEASURED};
 use crate::capacity::record::Point;
@@ -12,6 +12,7 @@
     figure: "processor time an ask, without rest",
     plus: None,
     times: 1.0,
+    times_size: false,
     unit: "ms",
 };
 const REST: Reading = Reading {
@@ -19,6 +20,7 @@
     figure: "processor time at rest",
     plus: None,
     times: 1.0,
+    times_size: false,
     unit: "share",
 };
 const MEMORY: Reading = Reading {
@@ -26,6 +28,7 @@
     figure: "resident memory",
     plus: None,
     times: 1.0 / KIB_IN_MB,
+    times_size: false,
     unit: "MB",
 };
 const BYTES: Reading = Reading {
@@ -33,12 +36,19 @@
     figure: "bytes in at rest",
     plus: Some("bytes out at rest"),
     times: 1.0,
+    times_size: false,
     unit: "bytes/s",
 };
 
 /// Whether a planner kept up with a rate of asks: 1 or 0.
-const KEPT_UP: Reading =
-    Reading { slope: "ask-rate", figure: "kept up", plus: None, times: 1.0, unit: "share" };
+const KEPT_UP: Reading = Reading {
+    slope: "ask-rate",
+    figure: "kept up",
+    plus: None,
+    times: 1.0,
+    times_size: false,
+    unit: "share",
+};
 
 /// All figures that the counts follow from.
 pub const READINGS: [Reading; 4] = [ASK, REST, MEMORY, BYTES];
@@ -202,7 +212,7 @@
 }
 
 fn cells(view: View, count: Count) -> Vec<String> {
-    let told = |planners: Option<usize>| planners.map_or("no number keeps it".into(), |n| number(n as f64));
+    let told = |planners: Option<usize>| planners.map_or("no number keeps it".into(), |n| whole(n as f64));
     let name = match view {
         View::Whole => "all machines".to_string(),
         View::Part { replicas } => format!("its part, {replicas} planners a machine"),
--- a/lab/src/capacity/page/reading.rs
+++ b/lab/src/capacity/page/reading.rs
@@ -32,6 +32,8 @@
     pub plus: Option<&'static str>,
     /// What the figure is multiplied by: a rate, a count, or a change of unit.
     pub times: f64,
+    /// Whether it is multiplied by the size, too: what happens more often the larger the fleet is.
+    pub times_size: bool,
     /// The unit of what comes out.
     pub unit: &'static str,
 }
@@ -97,6 +99,15 @@
 }
 
 impl Reading {
+    /// What the figure is multiplied by at a size.
+    fn factor(&self, size: f64) -> f64 {
+        if self.times_size {
+            self.times * size
+        } else {
+            self.times
+        }
+    }
+
     /// The figure in the records; none if the record is missing.
     ///
     /// # Errors
@@ -132,9 +143,10 @@
     /// The value at a size.
     pub fn at(&self, size: f64) -> Value {
         let measured = self.figure.points.iter().find(|point| point.size == size).map(|point| point.median());
-        let measured = measured.map(|value| value * self.reading.times);
+        let factor = self.reading.factor(size);
+        let measured = measured.map(|value| value * factor);
         let Some(model) = &self.model else { return self.nearest(size) };
-        let estimate = scaled(model.predict(size), self.reading.times);
+        let estimate = scaled(model.predict(size), factor);
         let origin = if size > self.largest() { Origin::Extrapolated } else { Origin::Fitted };
         Value { estimate, origin, measured, size }
     }
@@ -142,7 +154,7 @@
     /// Where the value first passes a bound, on the way up to a target.
     pub fn breaks(&self, bound: f64, target: f64) -> Breaks {
         let Some(model) = &self.model else { return self.breaks_measured(bound) };
-        let value = |size: f64| model.predict(size).value * self.reading.times;
+        let value = |size: f64| model.predict(size).value * self.reading.factor(size);
         let (smallest, most) = (self.figure.points[0].size, SEARCHED * target);
         if value(smallest) > bound {
             return Breaks::Already { size: smallest };
@@ -174,14 +186,14 @@
         let with_values = self.figure.points.iter().filter(|point| !point.values.is_empty());
         let nearest = with_values.min_by(|a, b| (a.size - size).abs().total_cmp(&(b.size - size).abs()));
         let (value, size) = nearest.map_or((f64::NAN, size), |point| (point.median(), point.size));
-        let value = value * self.reading.times;
+        let value = value * self.reading.factor(size);
         let estimate = Estimate { value, low: value, high: value };
         Value { estimate, origin: Origin::Measured, measured: Some(value), size }
     }
 
     fn breaks_measured(&self, bound: f64) -> Breaks {
-        let over = |value: f64| value * self.reading.times > bound;
-        let first = self.figure.points.iter().position(|point| over(point.median()));
+        let over = |point: &Point| point.median() * self.reading.factor(point.size) > bound;
+        let first = self.figure.points.iter().position(over);
         match first {
             Some(0) => Breaks::Already { size: self.figure.points[0].size },
             Some(at) => Breaks::At { size: self.figure.points[at].size, extrapolated: false },
--- a/lab/src/capacity/page/tables.rs
+++ b/lab/src/capacity/page/tables.rs
@@ -1,7 +1,7 @@
 //! The tables one after the other.
 
 use super::comparison;
-use super::number::{head, interval, line, number, percent};
+use super::number::{head, interval, line, number, percent, whole};
 use super::planners::{self, Costs, Planners};
 use super::reading::{Breaks, Origin, Reading, Records, Source, Value};
 use super::{PageError, NOT_MEASURED};
@@ -71,13 +71,13 @@
     let module = row.module.to_string();
     let (source, size) = (row.reading.source(records)?, resolve(row.size, planners));
     let (Some(source), Some(size)) = (source, size) else {
-        let at = size.map_or(size_text(row.size).into(), number);
+        let at = size.map_or(size_text(row.size).into(), whole);
         let missing =
             [at, NOT_MEASURED.into(), bound, "-".into(), "-".into(), row.reading.slope.into(), module];
         return Ok(front.into_iter().chain(missing).collect());
     };
     let value = source.at(size);
-    let at = format!("{} {}", number(value.size), source.slope.size);
+    let at = format!("{} {}", whole(value.size), source.slope.size);
     let factor = row.bound.map_or("-".into(), |bound| number(value.estimate.value / bound.most));
     let breaks = row.bound.map_or("-".into(), |bound| breaks_text(source.breaks(bound.most, size)));
     let needed = value_text(&value, row.reading.unit);
@@ -119,7 +119,7 @@
 }
 
 fn bound_text(bound: Bound, unit: &str) -> String {
-    format!("{} {unit} ({})", number(bound.most), bound.by)
+    format!("{} {unit} ({})", whole(bound.most), bound.by)
 }
 
 fn value_text(value: &Value, unit: &str) -> String {
@@ -134,11 +134,11 @@
 
 fn breaks_text(breaks: Breaks) -> String {
     match breaks {
-        Breaks::Already { size } => format!("**{} or fewer**", number(size)),
+        Breaks::Already { size } => format!("**{} or fewer**", whole(size)),
         Breaks::At { size, extrapolated: false } => format!("**{}**", number(size)),
         Breaks::At { size, extrapolated: true } => format!("{}, *extrapolated*", number(size)),
         Breaks::Never => "does not break: it does not grow".into(),
-        Breaks::Beyond { size } => format!("not up to {}", number(size)),
+        Breaks::Beyond { size } => format!("not up to {}", whole(size)),
         Breaks::Unknown => "not in what was run".into(),
     }
 }
@@ -226,7 +226,7 @@
                 continue;
             };
             let values = [of_hollow, of_real].map(|value| format!("{} {}", number(value), pair.hollow.unit));
-            let size = format!("{} {}", number(point.size), hollow.slope.size);
+            let size = format!("{} {}", whole(point.size), hollow.slope.size);
             let [of_hollow_text, of_real_text] = values;
             let ratio = number(of_real / of_hollow);
             text += &line(&[pair.what.into(), size, of_hollow_text, of_real_text, ratio, from.clone()]);
@@ -258,7 +258,7 @@
         link(source.slope),
         format!("{}, {}", source.figure.name, source.figure.unit),
         shape_text(fit.shape).into(),
-        format!("{} {}", number(held_out.size), source.slope.size),
+        format!("{} {}", whole(held_out.size), source.slope.size),
         interval(held_out.predicted),
         number(held_out.measured),
         percent(held_out.off_by),
--- a/lab/src/capacity/page/tests.rs
+++ b/lab/src/capacity/page/tests.rs
@@ -1,5 +1,5 @@
 use super::comparison::{Compared, Comparison};
-use super::number::{interval, number, percent};
+use super::number::{interval, number, percent, whole};
 use super::planners::{Costs, View};
 use super::reading::{Breaks, Origin, Reading, Records};
 use super::*;
@@ -62,7 +62,7 @@
 }
 
 fn of(slope: &'static str, figure: &'static str, times: f64) -> Reading {
-    Reading { slope, figure, plus: None, times, unit: "%" }
+    Reading { slope, figure, plus: None, times, times_size: false, unit: "%" }
 }
 
 #[test]
@@ -83,6 +83,10 @@
         assert_eq!(number(value), text, "{value}");
     }
     assert_eq!(percent(0.1234), "12.3%");
+    assert_eq!(
+        (whole(1_024.0), whole(4_194_304.0), whole(1.234)),
+        ("1,024".into(), "4,194,304".into(), "1.23".into())
+    );
     assert_eq!(interval(Estimate { value: 2.0, low: 1.0, high: 3.0 }), "2 (1 to 3)");
 }
 
@@ -207,6 +211,18 @@
     assert!(tables.contains("| answer, p99, ms | 8 and 6 | 400 and not measured |"), "{tables}");
 }
 
+/// What each machine brings is as much more as there are machines.
+#[test]
+fn what_comes_with_each_unit_of_the_size_grows_with_it() {
+    let records = planner();
+    let reading = Reading { times_size: true, ..of("ask-machines", "answer at 200 a second, p99", 0.5) };
+    let source = reading.source(&records).unwrap().unwrap();
+    assert_eq!(source.at(400.0).measured, Some(1_200.0));
+    assert!((source.at(400.0).estimate.value - 1_200.0).abs() < 1e-6);
+    let Breaks::At { size, .. } = source.breaks(300.0, 18_000.0) else { panic!("it breaks") };
+    assert!((size - 100.0).abs() < 1e-6, "{size}");
+}
+
 #[test]
 fn two_figures_of_the_same_runs_are_added_run_by_run() {
     let mut records = planner();
--- a/lab/src/capacity/rows.rs
+++ b/lab/src/capacity/rows.rs
@@ -111,15 +111,20 @@
 const PERCENT_OF_MS: f64 = PERCENT / 1e3;
 /// Hundredths of a core, of microseconds a second.
 const PERCENT_OF_US: f64 = PERCENT / 1e6;
-/// Machines of a zone.
-const ZONE_MACHINES: f64 = targets::MACHINES / targets::ZONES;
+/// Share of the machines that a zone has.
+const ZONE_SHARE: f64 = 1.0 / targets::ZONES;
 
 const fn reading(slope: &'static str, figure: &'static str, times: f64, unit: &'static str) -> Reading {
-    Reading { slope, figure, plus: None, times, unit }
+    Reading { slope, figure, plus: None, times, times_size: false, unit }
+}
+
+/// What comes with each unit of the size, so that it is multiplied by the size as well.
+const fn each(slope: &'static str, figure: &'static str, times: f64, unit: &'static str) -> Reading {
+    Reading { slope, figure, plus: None, times, times_size: true, unit }
 }
 
 const fn both(slope: &'static str, figures: [&'static str; 2], unit: &'static str) -> Reading {
-    Reading { slope, figure: figures[0], plus: Some(figures[1]), times: 1.0, unit }
+    Reading { slope, figure: figures[0], plus: Some(figures[1]), times: 1.0, times_size: false, unit }
 }
 
 /// All rows, in the order in which they stand on the page.
@@ -305,8 +310,8 @@
         place: CONFIGURATION,
         kind: Kind::Control,
         resource: Resource::Messages,
-        what: "whole files at 0.72 changes a second, a route for each team",
-        reading: reading("config-parse", "bytes of the file", targets::CONFIG_CHANGES_PER_S, "bytes/s"),
+        what: "whole files, a route for each team and 86 changes of each a day",
+        reading: each("config-parse", "bytes of the file", targets::CONFIG_CHANGES_PER_TEAM_S, "bytes/s"),
         size: TEAMS,
         bound: Some(BYTES),
         module: "`life/operators`; nothing carries files between machines",
@@ -317,10 +322,10 @@
         kind: Kind::Control,
         resource: Resource::Processor,
         what: "reading them and putting them in force",
-        reading: reading(
+        reading: each(
             "config-parse",
             "processor time until in force",
-            targets::CONFIG_CHANGES_PER_S * PERCENT_OF_MS,
+            targets::CONFIG_CHANGES_PER_TEAM_S * PERCENT_OF_MS,
             "% of a core",
         ),
         size: TEAMS,
@@ -333,10 +338,10 @@
         kind: Kind::Control,
         resource: Resource::Processor,
         what: "the same in a process, with signal and file",
-        reading: reading(
+        reading: each(
             "config-size",
             "processor time of a change",
-            targets::CONFIG_CHANGES_PER_S * PERCENT_OF_MS,
+            targets::CONFIG_CHANGES_PER_TEAM_S * PERCENT_OF_MS,
             "% of a core",
         ),
         size: TEAMS,
@@ -404,7 +409,7 @@
         kind: Kind::Control,
         resource: Resource::Messages,
         what: "changes: machines that come or go (question 1)",
-        reading: reading("list-machines", "bytes of a change", assumed::LIST_CHANGES_PER_S, "bytes/s"),
+        reading: each("list-machines", "bytes of a change", assumed::LIST_CHANGES_PER_MACHINE_S, "bytes/s"),
         size: MACHINES,
         bound: Some(BYTES),
         module: "`wire/platform/lists`",
@@ -415,10 +420,10 @@
         kind: Kind::Control,
         resource: Resource::Processor,
         what: "the same at a planner",
-        reading: reading(
+        reading: each(
             "list-machines",
             "processor time of a change",
-            assumed::LIST_CHANGES_PER_S * PERCENT_OF_US,
+            assumed::LIST_CHANGES_PER_MACHINE_S * PERCENT_OF_US,
             "% of a core",
         ),
         size: MACHINES,
@@ -431,7 +436,12 @@
         kind: Kind::Control,
         resource: Resource::Messages,
         what: "changes if each machine's free room is told every 10 s (question 1)",
-        reading: reading("list-machines", "bytes of a change", assumed::LIST_FREE_CHANGES_PER_S, "bytes/s"),
+        reading: each(
+            "list-machines",
+            "bytes of a change",
+            assumed::LIST_FREE_CHANGES_PER_MACHINE_S,
+            "bytes/s",
+        ),
         size: MACHINES,
         bound: Some(BYTES),
         module: "`wire/platform/lists`",
@@ -497,7 +507,7 @@
         kind: Kind::Control,
         resource: Resource::Time,
         what: "a change for each machine of a zone",
-        reading: reading("list-machines", "processor time of a change", ZONE_MACHINES * 1e-6, "s"),
+        reading: each("list-machines", "processor time of a change", ZONE_SHARE * 1e-6, "s"),
         size: MACHINES,
         bound: None,
         module: "`state/machines`, `decide/silence`",
@@ -508,10 +518,10 @@
         kind: Kind::Control,
         resource: Resource::Time,
         what: "a change for each machine of three zones",
-        reading: reading(
+        reading: each(
             "list-machines",
             "processor time of a change",
-            ZONE_MACHINES * assumed::LARGEST_REGION_ZONES * 1e-6,
+            ZONE_SHARE * assumed::LARGEST_REGION_ZONES * 1e-6,
             "s",
         ),
         size: MACHINES,
--- a/lab/src/capacity/targets.rs
+++ b/lab/src/capacity/targets.rs
@@ -19,8 +19,10 @@
 pub const REGIONS: f64 = 3.0;
 /// Zones, over all regions.
 pub const ZONES: f64 = 7.0;
-/// Changes of configuration a second, 62,000 a day.
-pub const CONFIG_CHANGES_PER_S: f64 = 62_000.0 / DAY_S;
+/// Changes of configuration a day.
+pub const CONFIG_CHANGES_A_DAY: f64 = 62_000.0;
+/// Changes a second of each team's configuration, 0.72 over all teams.
+pub const CONFIG_CHANGES_PER_TEAM_S: f64 = CONFIG_CHANGES_A_DAY / TEAMS / DAY_S;
 /// Seconds until a changed configuration is in force everywhere.
 pub const CONFIG_IN_FORCE_S: f64 = 12.0;
 /// Machines that are set aside for control.
@@ -61,13 +63,13 @@
     const CHANGES_A_RESTART: f64 = 3.0;
     /// Changes of the list for a machine that fails: it is gone, and back.
     const CHANGES_A_FAILURE: f64 = 2.0;
-    /// Changes of the list a second where it names only machines that come or go.
-    pub const LIST_CHANGES_PER_S: f64 =
-        (RESTARTS_A_DAY * CHANGES_A_RESTART + FAILURES_A_DAY * CHANGES_A_FAILURE) / DAY_S;
+    /// Changes of the list a second for each machine, where it names only machines that come or go.
+    pub const LIST_CHANGES_PER_MACHINE_S: f64 =
+        (RESTARTS_A_DAY * CHANGES_A_RESTART + FAILURES_A_DAY * CHANGES_A_FAILURE) / DAY_S / MACHINES;
     /// Seconds between two changes of a machine's free room, where the list tells these, too.
     const FREE_TOLD_EVERY_S: f64 = 10.0;
-    /// Changes of the list a second where it tells the free room of all machines.
-    pub const LIST_FREE_CHANGES_PER_S: f64 = MACHINES / FREE_TOLD_EVERY_S;
+    /// Changes of the list a second for each machine, where it tells the free room, too.
+    pub const LIST_FREE_CHANGES_PER_MACHINE_S: f64 = 1.0 / FREE_TOLD_EVERY_S;
     /// Machines of a rack.
     pub const RACK_MACHINES: f64 = 40.0;
     /// Zones of the largest region.
