--- a/lab/src/capacity/slopes.rs
+++ b/lab/src/capacity/slopes.rs
@@ -2,11 +2,12 @@
 
 use super::record::{Run, Slope};
 use super::{
-    admission, config_parse, gang_machines, list_machines, members, pick_machines, rest_hollow,
-    restart_hollow, state,
+    admission, ask_rate, config_parse, config_rate, config_size, gang_machines, list_machines, machines,
+    members, pick_machines, planners, rest_hollow, restart_hollow, state, tasks,
 };
 use crate::planner::Program;
 use std::io;
+use std::path::PathBuf;
 
 /// How slopes are measured.
 #[derive(Clone, Debug)]
@@ -17,10 +18,22 @@
     pub repeats: usize,
     /// The planner's program, for slopes that start processes.
     pub program: Program,
+    /// The laboratory's own program, for hollow machines.
+    pub laboratory: PathBuf,
     /// Where and when, as it goes into the records.
     pub run: Run,
 }
 
+impl Options {
+    /// The sizes of a slope, each with its count of runs: at the greatest one run less.
+    pub fn runs(&self, sizes: &[usize], short: &[usize]) -> Vec<(usize, usize)> {
+        let sizes = if self.short { short } else { sizes };
+        let most = sizes.iter().max();
+        let repeats = |size| if Some(size) == most { self.repeats - 1 } else { self.repeats };
+        sizes.iter().map(|size| (*size, repeats(size).max(1))).collect()
+    }
+}
+
 /// Measures slopes, with a line on standard error for each run.
 pub type Measure = fn(&Options) -> io::Result<Vec<Slope>>;
 
@@ -35,6 +48,13 @@
 
 /// All slopes, in the order in which they are measured.
 pub const TABLE: &[Entry] = &[
+    Entry { names: machines::NAMES, measure: machines::measure },
+    Entry { names: machines::TODAY, measure: machines::measure_today },
+    Entry { names: tasks::NAMES, measure: tasks::measure },
+    Entry { names: planners::NAMES, measure: planners::measure },
+    Entry { names: ask_rate::NAMES, measure: ask_rate::measure },
+    Entry { names: config_size::NAMES, measure: config_size::measure },
+    Entry { names: config_rate::NAMES, measure: config_rate::measure },
     Entry { names: &["pick-machines"], measure: pick_machines::measure },
     Entry { names: &["admission-routes"], measure: admission::measure_routes },
     Entry { names: &["admission-quotas"], measure: admission::measure_quotas },
@@ -63,3 +83,6 @@
     let wanted = |entry: &&Entry| names.is_empty() || names.iter().any(|n| entry.names.contains(&n.as_str()));
     Ok(table.iter().filter(wanted).collect())
 }
+
+#[cfg(test)]
+mod tests;
