--- a/lab/src/capacity/page.rs
+++ b/lab/src/capacity/page.rs
@@ -6,8 +6,8 @@
 pub mod reading;
 mod tables;
 
+use super::compare::{Comparison, COMPARISON};
 use super::record::{Slope, RECORDS};
-use comparison::Comparison;
 use reading::Records;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -20,9 +20,6 @@
 /// The line after the tables.
 pub const END: &str = "<!-- tables: end -->";
 
-/// The record of two programs side by side, beside the slopes.
-pub const COMPARISON: &str = "capacity/compare.json";
-
 /// What stands where there is no record.
 const NOT_MEASURED: &str = "not measured";
 
@@ -100,7 +97,7 @@
     }
     for entry in std::fs::read_dir(&folder).map_err(failed(&folder))? {
         let path = entry.map_err(failed(&folder))?.path();
-        if path.ends_with(COMPARISON) {
+        if path == root.join(COMPARISON) {
             records.comparison = Some(read_comparison(&path).map_err(failed(&path))?);
         } else if path.extension().is_some_and(|extension| extension == "json") {
             let slope = Slope::read(&path).map_err(failed(&path))?;
--- a/lab/src/capacity/page/comparison.rs
+++ b/lab/src/capacity/page/comparison.rs
@@ -1,42 +1,28 @@
 //! Two programs side by side, as the page shows them.
 
-use super::number::{head, line, number, whole};
-use super::{COMPARISON, NOT_MEASURED};
-use crate::capacity::record::{Point, Run};
-use serde::Deserialize;
+use super::number::{head, line, number, percent, whole};
+use super::NOT_MEASURED;
+use crate::capacity::compare::Comparison;
+use crate::capacity::record::Point;
 
-/// The record of two programs that were measured by turns in one run.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Comparison {
-    /// Where and when.
-    pub run: Run,
-    /// The commits of the programs.
-    pub commits: Vec<String>,
-    /// What was measured.
-    pub figures: Vec<Compared>,
-}
-
-/// A figure of both programs.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Compared {
-    /// Its name.
-    pub name: String,
-    /// Its unit.
-    pub unit: String,
-    /// Before, by machines.
-    pub before: Vec<Point>,
-    /// After, by machines.
-    pub after: Vec<Point>,
-}
+/// The record, relative to the page.
+const LINK: &str = "capacity/compare.json";
 
 /// The table: a line for each figure, a column for each size.
 pub fn table(comparison: Option<&Comparison>) -> String {
     let Some(comparison) = comparison else { return format!("{NOT_MEASURED}\n") };
     let commits = comparison.commits.join(" and ");
     let form = if comparison.run.short { ", short form" } else { "" };
+    let Comparison { run, setting, .. } = comparison;
     let mut text = format!(
-        "[{COMPARISON}]({COMPARISON}): medians before and after, {commits}, by turns in one run{form} ({}, {}), by machines.\n\n",
-        comparison.run.date, comparison.run.machine
+        "[{LINK}]({LINK}): medians before and after ({commits}), by turns in one run{form}, by machines; {} asks a second, {} \
+         of the room spare, {} descriptors, {} planners told of ({}, {}).\n\n",
+        number(comparison.rate),
+        percent(comparison.spare),
+        whole(f64::from(setting.sockets)),
+        whole(setting.listed as f64),
+        run.date,
+        run.machine
     );
     let sizes = sizes(comparison);
     let names: Vec<String> =
--- a/lab/src/capacity/page/reading.rs
+++ b/lab/src/capacity/page/reading.rs
@@ -1,7 +1,7 @@
 //! A figure of a record at a size, whether that size was run or not.
 
-use super::comparison::Comparison;
 use super::PageError;
+use crate::capacity::compare::Comparison;
 use crate::capacity::fit::Model;
 use crate::capacity::record::{Estimate, Figure, Point, Slope};
 use std::borrow::Cow;
--- a/lab/src/capacity/page/tests.rs
+++ b/lab/src/capacity/page/tests.rs
@@ -1,8 +1,8 @@
-use super::comparison::{Compared, Comparison};
 use super::number::{interval, number, percent, whole};
 use super::planners::{Costs, View};
 use super::reading::{Breaks, Origin, Reading, Records};
 use super::*;
+use crate::capacity::compare::{Compared, Comparison, Setting};
 use crate::capacity::missing::{Felt, MISSING};
 use crate::capacity::record::{Estimate, Figure, Point, Run};
 use crate::capacity::rows::{Place, HOLLOW_AND_REAL, ROWS};
@@ -205,7 +205,17 @@
     };
     let run = planner().slopes["ask-machines"].run.clone();
     let commits = vec!["abc".to_string(), "def".to_string()];
-    let comparison = Some(Comparison { run, commits, figures: vec![figure] });
+    let setting = Setting { listed: 16, sockets: 40_000 };
+    let comparison = Comparison {
+        run,
+        commits,
+        setting,
+        memory_mb: 512.0,
+        rate: 200.0,
+        spare: 0.1,
+        figures: vec![figure],
+    };
+    let comparison = Some(comparison);
     let tables = render(&Records { comparison, ..planner() }).unwrap();
     assert!(tables.contains("| figure | 20 | 18,000 |"), "{tables}");
     assert!(tables.contains("| answer, p99, ms | 8 and 6 | 400 and not measured |"), "{tables}");
--- a/lab/src/capacity/targets.rs
+++ b/lab/src/capacity/targets.rs
@@ -21,6 +21,8 @@
 pub const ZONES: f64 = 7.0;
 /// Changes of configuration a day.
 pub const CONFIG_CHANGES_A_DAY: f64 = 62_000.0;
+/// The same a second.
+pub const CONFIG_CHANGES_PER_S: f64 = CONFIG_CHANGES_A_DAY / DAY_S;
 /// Changes a second of each team's configuration, 0.72 over all teams.
 pub const CONFIG_CHANGES_PER_TEAM_S: f64 = CONFIG_CHANGES_A_DAY / TEAMS / DAY_S;
 /// Seconds until a changed configuration is in force everywhere.
--- a/tests/capacity_page.rs
+++ b/tests/capacity_page.rs
@@ -1,6 +1,7 @@
 //! `docs/CAPACITY.md` says what the records under `docs/capacity/` give, and a record that changes is noticed.
 
-use burlhook_lab::capacity::page::{self, PageError, COMPARISON, PAGE};
+use burlhook_lab::capacity::compare::COMPARISON;
+use burlhook_lab::capacity::page::{self, PageError, PAGE};
 use burlhook_lab::capacity::record::{Slope, RECORDS};
 use std::path::{Path, PathBuf};
 
@@ -19,9 +20,8 @@
         for slope in page::records(root()).expect("records").slopes.into_values() {
             slope.write(&copy).expect("a record");
         }
-        let comparison = Path::new("docs").join(COMPARISON);
-        if root().join(&comparison).exists() {
-            std::fs::copy(root().join(&comparison), copy.join(&comparison)).expect("a record");
+        if root().join(COMPARISON).exists() {
+            std::fs::copy(root().join(COMPARISON), copy.join(COMPARISON)).expect("a record");
         }
         made_up().write(&copy).expect("a record");
         page::fit(&copy).expect("fitted");
