--- a/lab/src/capacity/compare.rs
+++ b/lab/src/capacity/compare.rs
@@ -99,7 +99,8 @@
         for figure in &self.figures {
             for (before, after) in figure.before.iter().zip(&figure.after) {
                 let (name, (b, a)) = (&figure.name, (before.median(), after.median()));
-                println!("{name:<36} {:>9} {b:>12.4} {a:>12.4} {:>8.3}  {}", before.size, a / b, figure.unit);
+                let ratio = if b > 0.0 { format!("{:.3}", a / b) } else { "-".into() };
+                println!("{name:<36} {:>9} {b:>12.4} {a:>12.4} {ratio:>8}  {}", before.size, figure.unit);
             }
         }
     }
