--- a/src/decide/limits/file.rs
+++ b/src/decide/limits/file.rs
@@ -1,13 +1,16 @@
 //! Reads the section `limits` and holds it against the settings: every fault is told with its place and with the rule
 //! that it would break. The rules' figures are the settings', none is written here.
 
+mod chains;
+mod overlaps;
+
 use super::gauges::{Budget, Rate};
 use super::model::{Figures, Front, Matching, Model, Pattern, Route, Scope, SecondCopy, Span};
 use super::shared_rate;
-use super::table::{Chain, Origin};
+use super::table::Origin;
 use crate::document::{Fault, Item, Section};
 use crate::placer::{Effect, Seconds, Settings};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -23,12 +26,6 @@
 const FLOOR_FIRST: u32 = 3;
 /// Share. The most further tries for each first one.
 const MOST_SHARE: f64 = 10.0;
-/// Count. Up to so many routes are held against each other for ambiguity: the work grows with their square.
-const MOST_COMPARED: usize = 1000;
-/// Count. Ambiguous pairs that are told.
-const MOST_TOLD: usize = 10;
-/// Seconds. The module's longest pause after a refusal, which counts where the file sets none.
-const PAUSE_MOST_S: Seconds = 0.18;
 
 /// What a file is held against.
 #[derive(Clone, Copy)]
@@ -339,183 +336,6 @@
             memory: memory.map_or(Some(None), |m| m.map(Some))?,
         })
     }
-
-    /// Faults that follow only from several figures, also inherited ones.
-    fn chains(&mut self, model: &Model, spots: &BTreeMap<Origin, Spots>) {
-        let classes = 0..self.context.classes.len();
-        for class in classes.clone() {
-            self.chain(&Chain::new(model, class, None), class, spots);
-        }
-        for (at, route) in model.routes.iter().enumerate() {
-            for class in self.classes_of(&route.matching) {
-                self.chain(&Chain::new(model, class, Some(at)), class, spots);
-            }
-        }
-    }
-
-    /// The most particular place that gives one of some figures.
-    fn chain(&mut self, chain: &Chain, class: usize, spots: &BTreeMap<Origin, Spots>) {
-        let settings = self.context.settings;
-        let name = &self.context.classes[class];
-        let attempts = chain.find(|f| f.attempts);
-        let (attempt, total) = (chain.find(|f| f.attempt_s), chain.find(|f| f.total_s));
-        let pause = chain.find(|f| f.pause_s);
-        let many = attempts.map_or(settings.max_attempts, |(_, n)| n as usize).min(settings.max_attempts);
-        let further = many.saturating_sub(1) as f64;
-        let (least_pause, most_pause) = pause.map_or((0.0, PAUSE_MOST_S), |(_, p)| p);
-        if let (Some((a, attempt_s)), Some((t, total_s))) = (attempt, total) {
-            if attempt_s > total_s {
-                let what = format!(
-                    "an attempt of {} ms outlasts the whole time of {} ms (class {name:?})",
-                    attempt_s * 1e3,
-                    total_s * 1e3
-                );
-                self.blame(spots, &[(a, "attemptMs"), (t, "totalMs")], what, None);
-            }
-        }
-        if let (Some((p, _)), Some((t, total_s))) = (pause, total) {
-            if further * least_pause >= total_s {
-                let what = format!(
-                    "{further} pauses of {} ms leave nothing of the whole time of {} ms (class {name:?})",
-                    least_pause * 1e3,
-                    total_s * 1e3
-                );
-                self.blame(spots, &[(p, "pauseMs"), (t, "totalMs")], what, None);
-            }
-        }
-        if let Some((i, ())) = chain.find(|f| f.in_flight.filter(|_| f.is_shared()).map(|_| ())) {
-            self.ends_in_time(spots, i, total, name);
-        }
-        let Effect::Keyed { window_s, .. } = settings.classes[class].effect else { return };
-        let copies = chain.get(|f| f.second_copy) != Some(SecondCopy::Never);
-        let own = chain.get(|f| f.window_s).unwrap_or(window_s);
-        let Some((a, attempt_s)) = attempt.filter(|_| copies && own <= window_s) else { return };
-        let last = (further * (attempt_s + most_pause)).min(total.map_or(f64::INFINITY, |(_, t)| t));
-        if last > window_s {
-            let what = format!(
-                "{many} attempts of {} ms with pauses of up to {} ms put the last send of class {name:?} {} ms after \
-                 the first",
-                attempt_s * 1e3,
-                most_pause * 1e3,
-                (last * 1e3).round()
-            );
-            let rule =
-                format!("repeats of class {name:?} end {window_s} s after its first send (repeat_window_s)");
-            let places = [
-                Some((a, "attemptMs")),
-                attempts.map(|(o, _)| (o, "attempts")),
-                pause.map(|(o, _)| (o, "pauseMs")),
-                total.map(|(o, _)| (o, "totalMs")),
-            ];
-            let places: Vec<(Origin, &str)> = places.into_iter().flatten().collect();
-            self.blame(spots, &places, what, Some(rule));
-        }
-    }
-
-    /// Jobs in flight of the whole fleet end before what their planner holds lapses.
-    fn ends_in_time(
-        &mut self,
-        spots: &BTreeMap<Origin, Spots>,
-        place: Origin,
-        total: Option<(Origin, Seconds)>,
-        class: &str,
-    ) {
-        let Some(most_s) = self.context.lease_s.filter(|s| s.is_finite()).map(|s| s / 2.0) else { return };
-        let rule = format!("a job in flight of the fleet ends within half a lease, {} ms", most_s * 1e3);
-        match total {
-            None => {
-                let what = format!("has no totalMs (class {class:?})");
-                self.blame(spots, &[(place, "inFlight")], what, Some(rule));
-            }
-            Some((t, total_s)) if total_s > most_s => {
-                let what = format!("counts jobs of up to {} ms (class {class:?})", total_s * 1e3);
-                self.blame(spots, &[(place, "inFlight"), (t, "totalMs")], what, Some(rule));
-            }
-            Some(_) => {}
-        }
-    }
-
-    /// Books a fault at the most particular of some places, once for each text.
-    fn blame(
-        &mut self,
-        spots: &BTreeMap<Origin, Spots>,
-        places: &[(Origin, &str)],
-        what: String,
-        rule: Option<String>,
-    ) {
-        let Some((origin, name)) = places.iter().max_by_key(|(origin, _)| *origin) else { return };
-        let Some(at) = spots.get(origin) else { return };
-        let span = at.span(name).unwrap_or(&at.whole).clone();
-        let fault = Fault { span, path: format!("{}.{name}", at.path), what, rule };
-        if !self.faults.iter().any(|f| f.path == fault.path && f.span == fault.span) {
-            self.faults.push(fault);
-        }
-    }
-
-    /// Tells of routes that no job can take, and of pairs where a job may match both and their order decides. A route
-    /// that matches the very same as another is a fault.
-    fn compare(&mut self, model: &Model, spots: &BTreeMap<Origin, Spots>) -> Vec<String> {
-        let mut told = Vec::new();
-        let mut ambiguous = 0;
-        let routes = &model.routes;
-        // Only a route for the same service, a prefix of it, or a general one can cover another.
-        let mut exact: HashMap<&str, Vec<usize>> = HashMap::new();
-        let mut prefix: HashMap<&str, Vec<usize>> = HashMap::new();
-        let mut general: Vec<usize> = Vec::new();
-        for (at, route) in routes.iter().enumerate() {
-            let own = &route.matching;
-            let fixed: &str = match &own.service {
-                Pattern::Exact(text) | Pattern::Prefix(text) => text,
-                Pattern::Glob(text, _) => text.split(['*', '?']).next().unwrap_or_default(),
-                Pattern::Any => "",
-            };
-            let cuts = (0..=fixed.len()).filter(|&cut| fixed.is_char_boundary(cut));
-            let prefixes = cuts.filter_map(|cut| prefix.get(&fixed[..cut]));
-            let before = exact.get(fixed).into_iter().chain(prefixes).flatten().chain(&general);
-            let covering = before.filter(|&&first| routes[first].matching.covers(own)).min();
-            if let Some(&first) = covering {
-                let other = &routes[first];
-                if own.covers(&other.matching) {
-                    let spot = spots.get(&Origin::Route(at)).cloned().unwrap_or_default();
-                    let what = format!("matches the very same as route {:?}", other.name);
-                    self.faults.push(Fault::new(spot.whole, &spot.path, what));
-                } else {
-                    told.push(format!(
-                        "route {:?} is never taken: route {:?} before it takes all that it matches",
-                        route.name, other.name
-                    ));
-                }
-            } else if at < MOST_COMPARED {
-                let meets = |first: &&Route| {
-                    first.matching.meets(own)
-                        && !own.covers(&first.matching)
-                        && first.figures != route.figures
-                };
-                let found: Vec<&Route> = routes[..at].iter().filter(meets).collect();
-                ambiguous += found.len();
-                for first in found.iter().take(MOST_TOLD.saturating_sub(told.len())) {
-                    told.push(format!(
-                        "routes {:?} and {:?} may match the same job: the first one is taken",
-                        first.name, route.name
-                    ));
-                }
-            }
-            match &own.service {
-                Pattern::Exact(text) => exact.entry(text).or_default().push(at),
-                Pattern::Prefix(text) => prefix.entry(text).or_default().push(at),
-                Pattern::Glob(..) | Pattern::Any => general.push(at),
-            }
-        }
-        if ambiguous > MOST_TOLD {
-            told.push(format!("{ambiguous} pairs of routes in all may match the same job"));
-        }
-        if routes.len() > MOST_COMPARED {
-            told.push(format!(
-                "only the first {MOST_COMPARED} routes were looked at for jobs that match two"
-            ));
-        }
-        told
-    }
 }
 
 fn second_copy(item: &Item<'_>) -> Option<SecondCopy> {
