Give each command of the laboratory a module of its own

Each is now a module under lab/src/commands: its arguments, its run, and what it prints; main.rs names them. No behaviour changes.

--- /dev/null
+++ b/lab/src/commands/twin.rs
@@ -0,0 +1,63 @@
+//! The deterministic simulation of a fleet.
+
+use burlhook::decide::fleet::Terms;
+use burlhook_lab::twin;
+use clap::Args;
+use std::io;
+use std::time::Duration;
+
+/// What the command is told.
+#[derive(Args)]
+pub struct Arguments {
+    /// Planners; drawn by each seed if absent.
+    #[arg(long)]
+    planners: Option<usize>,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many.
+    #[arg(long, default_value_t = 100)]
+    seeds: u64,
+    /// Simulated seconds of each.
+    #[arg(long, default_value_t = 30)]
+    seconds: u64,
+    /// Milliseconds of a lease, for handovers.
+    #[arg(long, default_value_t = 3000)]
+    lease_ms: u64,
+    /// How long parts are idle, instead of drawn faults.
+    #[arg(long)]
+    handovers: bool,
+}
+
+/// Carries it out; tells whether all was well.
+pub fn run(arguments: Arguments) -> io::Result<bool> {
+    let Arguments { planners, seed, seeds, seconds, lease_ms, handovers } = arguments;
+    if handovers {
+        print_handovers(planners.unwrap_or(8), lease_ms, seeds);
+        return Ok(true);
+    }
+    let mut well = true;
+    for seed in seed..seed + seeds {
+        let mut twin = twin::Twin::new(twin::rough(seed, planners, seconds));
+        twin.run(Duration::from_secs(seconds));
+        if let Some(broken) = &twin.broken {
+            println!("seed {seed}: {broken}");
+            well = false;
+        }
+    }
+    println!("{seeds} seeds of {seconds} s");
+    Ok(well)
+}
+
+fn print_handovers(planners: usize, lease_ms: u64, seeds: u64) {
+    let lease = lease_ms * 1_000;
+    let terms = Terms { lease, ask_every: (lease / 60).clamp(20_000, 500_000), ..twin::TERMS };
+    let all = twin::handovers(planners, terms, seeds);
+    let show = |name: &str, mut times: Vec<Option<u64>>| {
+        times.sort_unstable_by_key(|t| t.unwrap_or(u64::MAX));
+        let at = |share: f64| times[((times.len() - 1) as f64 * share) as usize];
+        println!("{name}: p50 {:?} p99 {:?} ms", at(0.5), at(0.99));
+    };
+    show("from a death to its part in use elsewhere", all.iter().map(|(used, _)| *used).collect());
+    show("from a start to a fair part", all.iter().map(|(_, back)| *back).collect());
+}
