Share read buffers among connections to machines, and let go of the configuration's list

Seen: each connection to a machine held a read buffer of 16 KiB with nothing in it, of which a page was resident; the list of machines that the configuration knows was kept three times after it was taken in: in the configuration, in the channel that tells where the list is followed, and by the task that follows it.

Change: `wire/read_buffers` lends a buffer for a read; a connection keeps one only while a line that is not whole lies in it, four are kept, and one that a long line made grow is let go. The configuration's list is shared, and let go once it is taken in; a reload brings its own, as before.

Tests: reads in turn share one buffer, few are kept and none that grew (counts).

--- a/src/life/config.rs
+++ b/src/life/config.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -115,7 +116,7 @@
     pub seed: u64,
     pub limits: Limits,
     pub board: Option<String>,
-    pub known: Known,
+    pub known: Arc<Known>,
     pub settings: Value,
 }
 
@@ -141,7 +142,7 @@
             seed,
             limits: file.limits,
             board: file.board,
-            known: file.known,
+            known: Arc::new(file.known),
             settings: file.settings,
         })
     }
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -162,6 +162,7 @@
     async fn live(&mut self) -> Result<(), ConfigError> {
         let mut signals = Signals::new().map_err(ConfigError::Runtime)?;
         let hub = self.start().await?;
+        self.let_go_of_known();
         self.enter(Phase::Serving);
         loop {
             tokio::select! {
@@ -260,6 +261,15 @@
         Ok(hub)
     }
 
+    /// Lets go of the machines that the configuration knew, which are taken in.
+    fn let_go_of_known(&mut self) {
+        self.config.known = Arc::default();
+        self.board.send_if_modified(|source| {
+            source.known = Arc::default();
+            false
+        });
+    }
+
     /// Takes part in the fleet that the operators' file names.
     async fn join(&self, hub: &Arc<Hub>, operators: &Operators) -> Result<(), ConfigError> {
         let Some(fleet) = operators.fleet.clone() else { return Ok(()) };
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -14,6 +14,7 @@
 use super::outbox::{Sink, Tag};
 use super::platform::node::{self, cause};
 use super::platform::owner;
+use super::read_buffers::ReadBuffers;
 use super::trail;
 use crate::decide::budgets::Word;
 use crate::decide::fleet::Member;
@@ -71,6 +72,8 @@
 pub struct Hub {
     inner: Mutex<Inner>,
     clock: Clock,
+    /// What the connections of machines are read into.
+    pub read_buffers: ReadBuffers,
     /// The next alarm may have come nearer.
     pub alarm: Notify,
     /// Counts changes that watchers may want to read.
@@ -101,6 +104,7 @@
         let hub = Hub {
             inner: Mutex::new(inner),
             clock: Clock::new(),
+            read_buffers: ReadBuffers::default(),
             alarm: Notify::new(),
             changes: watch::Sender::new(0),
         };
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,5 +5,6 @@
 pub mod outbox;
 pub mod peers;
 pub mod platform;
+pub mod read_buffers;
 pub mod rest;
 mod trail;
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -8,6 +8,7 @@
 use crate::placer::*;
 use crate::state::Input;
 use crate::wire::hub::{seconds, Hub};
+use crate::wire::read_buffers::READ_BYTES;
 use bytes::{Buf, BytesMut};
 use std::io;
 use std::pin::pin;
@@ -18,8 +19,6 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::{sleep, timeout};
 
-/// Bytes read at once.
-const READ_BYTES: usize = 16 * 1024;
 /// What a box still says on a connection whose place another took is heard for so long at most.
 const HEAR_OUT: Duration = Duration::from_millis(2000);
 /// A connection that ends so soon after it came up is not dialled anew at once.
@@ -177,7 +176,7 @@
                     self.is_silent(false);
                     let _ = stream.set_nodelay(true);
                     self.tell(Input::LinkUp { machine });
-                    let mut buffer = BytesMut::with_capacity(READ_BYTES);
+                    let mut buffer = BytesMut::new();
                     let end = self.talk(&stream, &address, &wakes, &mut draws, &mut buffer, &mut signs).await;
                     let end = match end {
                         Ok(End::Swap(other)) => {
@@ -367,7 +366,11 @@
                 }
                 ready = stream.ready(interest) => {
                     if ready?.is_readable() {
-                        buffer.reserve(READ_BYTES);
+                        if buffer.is_empty() {
+                            *buffer = self.hub.read_buffers.lend();
+                        } else {
+                            buffer.reserve(READ_BYTES);
+                        }
                         match stream.try_read_buf(buffer) {
                             Ok(0) => return Ok(End::Closed),
                             Ok(_) => {
@@ -379,6 +382,9 @@
                             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                             Err(error) => return Err(error),
                         }
+                        if buffer.is_empty() {
+                            self.hub.read_buffers.give_back(std::mem::take(buffer));
+                        }
                     }
                 }
             }
--- a/src/wire/platform/lists.rs
+++ b/src/wire/platform/lists.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Source {
     pub address: Option<String>,
-    pub known: Known,
+    pub known: Arc<Known>,
 }
 
 /// Follows the board for as long as the program runs, to wherever it moves. The numbers go on.
