--- a/lab/src/capacity/page/tables.rs
+++ b/lab/src/capacity/page/tables.rs
@@ -8,7 +8,7 @@
 use crate::capacity::missing::{Felt, Missing, MISSING};
 use crate::capacity::reasons::{self, OFF_WITHOUT_REASON};
 use crate::capacity::record::{Fit, Shape, Slope};
-use crate::capacity::rows::{Bound, Kind, Place, Resource, Row, Size, HOLLOW_AND_REAL, ROWS};
+use crate::capacity::rows::{self, Bound, Kind, Place, Resource, Row, Size, HOLLOW_AND_REAL};
 use crate::capacity::targets;
 use std::collections::BTreeSet;
 
@@ -42,7 +42,7 @@
 ) -> Result<String, PageError> {
     let mut text = String::new();
     let mut last = None;
-    for row in ROWS.iter().filter(|row| wanted(row.place)) {
+    for row in rows::all().filter(|row| wanted(row.place)) {
         if last != Some(row.place) {
             let (Place::Role(name) | Place::Event(name)) = row.place;
             text += &format!("\n**{name}**\n\n");
@@ -182,7 +182,7 @@
     planners: Option<Planners>,
 ) -> Result<(f64, String), PageError> {
     let mut first = (f64::INFINITY, NOT_MEASURED.to_string());
-    for row in ROWS.iter().filter(|row| ids.contains(&row.id)) {
+    for row in rows::all().filter(|row| ids.contains(&row.id)) {
         let (source, target) = (row.reading.source(records)?, resolve(row.size, planners));
         let (Some(source), Some(target), Some(bound)) = (source, target, row.bound) else { continue };
         let breaks = source.breaks(bound.most, target);
@@ -204,7 +204,7 @@
 /// All figures that the page reads, each once.
 fn readings() -> Vec<Reading> {
     let mut seen = BTreeSet::new();
-    let all = ROWS.iter().map(|row| row.reading).chain(planners::READINGS);
+    let all = rows::all().map(|row| row.reading).chain(planners::READINGS);
     all.filter(|reading| seen.insert((reading.slope, reading.figure, reading.plus))).collect()
 }
 
--- a/lab/src/capacity/page/tests.rs
+++ b/lab/src/capacity/page/tests.rs
@@ -5,7 +5,7 @@
 use crate::capacity::compare::{Compared, Comparison, Setting};
 use crate::capacity::missing::{Felt, MISSING};
 use crate::capacity::record::{Estimate, Figure, Point, Run};
-use crate::capacity::rows::{Place, HOLLOW_AND_REAL, ROWS};
+use crate::capacity::rows::{self, Place, HOLLOW_AND_REAL};
 use crate::capacity::targets::{assumed, control};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -135,7 +135,7 @@
     let tables = render(&Records::default()).unwrap();
     assert_eq!(
         tables.matches("not measured").count(),
-        ROWS.len() + HOLLOW_AND_REAL.len() + 2 + felt_by_rows()
+        rows::all().count() + HOLLOW_AND_REAL.len() + 2 + felt_by_rows()
     );
 }
 
@@ -261,15 +261,15 @@
 
 #[test]
 fn rows_are_named_once_and_found() {
-    let ids: BTreeSet<&str> = ROWS.iter().map(|row| row.id).collect();
-    assert_eq!(ids.len(), ROWS.len());
+    let ids: BTreeSet<&str> = rows::all().map(|row| row.id).collect();
+    assert_eq!(ids.len(), rows::all().count());
     for missing in MISSING {
-        let Felt::Rows(rows) = missing.felt else { continue };
-        let broken = |id: &&str| ROWS.iter().any(|row| row.id == *id && row.bound.is_some());
-        assert!(rows.iter().all(broken), "{}", missing.name);
+        let Felt::Rows(ids) = missing.felt else { continue };
+        let broken = |id: &&str| rows::all().any(|row| row.id == *id && row.bound.is_some());
+        assert!(ids.iter().all(broken), "{}", missing.name);
     }
     // A place that came again would get a second table.
-    let mut places: Vec<Place> = ROWS.iter().map(|row| row.place).collect();
+    let mut places: Vec<Place> = rows::all().map(|row| row.place).collect();
     places.dedup();
     assert!((1..places.len()).all(|at| !places[..at].contains(&places[at])));
 }
