--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -14,6 +14,7 @@
 use super::outbox::{Sink, Tag};
 use super::platform::node::{self, cause};
 use super::platform::owner;
+use super::read_buffers::ReadBuffers;
 use super::trail;
 use crate::decide::budgets::Word;
 use crate::decide::fleet::Member;
@@ -26,7 +27,6 @@
 use std::io;
 use std::net::IpAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
 use tokio::sync::{mpsc, watch, Notify};
 
 /// What the limits leave to connections.
@@ -72,6 +72,8 @@
 pub struct Hub {
     inner: Mutex<Inner>,
     clock: Clock,
+    /// What the connections of machines are read into.
+    pub read_buffers: ReadBuffers,
     /// The next alarm may have come nearer.
     pub alarm: Notify,
     /// Counts changes that watchers may want to read.
@@ -102,6 +104,7 @@
         let hub = Hub {
             inner: Mutex::new(inner),
             clock: Clock::new(),
+            read_buffers: ReadBuffers::default(),
             alarm: Notify::new(),
             changes: watch::Sender::new(0),
         };
@@ -217,7 +220,7 @@
             Effect::Probe { machine } => {
                 let Some(link) = self.nodes.get_mut(&machine) else { return };
                 link.probes += 1;
-                link.probe = Some(Instant::now());
+                link.probe = Some(now);
                 let line = node::check(link.probes);
                 self.write_node(machine, line, Tag::Plain);
             }
@@ -225,6 +228,7 @@
                 self.write_node(machine, node::check(node::PROOF | ask), Tag::Plain);
             }
             Effect::Connect { machine, address } => self.connect(machine, address),
+            Effect::Watch { machine } => self.look_anew(machine),
             Effect::Disconnect { machine } => {
                 self.silent.remove(&machine);
                 self.yield_place(now, machine);
