--- a/lab/src/commands/budgets.rs
+++ b/lab/src/commands/budgets.rs
@@ -142,4 +142,5 @@
     }
     println!("broken: {}", report.broken.len());
     report.broken.iter().take(10).for_each(|b| println!("  {b}"));
+    report.unused.iter().for_each(|u| println!("not used: {u}"));
 }
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -4,6 +4,7 @@
 use super::owner::{self, kind, Malformed, Message, SetUp};
 use crate::placer::*;
 use crate::state::{Ask, Core, Input, Owner, Spec};
+use crate::wire::arrived::TURN_BYTES;
 use crate::wire::hub::{is_unread, Hub, Inner};
 use bytes::{Buf, BytesMut};
 use std::io;
@@ -67,6 +68,8 @@
     let mut buffer = BytesMut::new();
     let mut half_since = None;
     let mut faults = 0;
+    // Why nothing more is heard: what was open has its answer, and the answers are still to be written.
+    let mut over: Option<io::Error> = None;
     let mut read_from = Instant::now();
     let mut looks = tokio::time::interval(LOOK);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -80,10 +83,14 @@
             }
             !link.outbox.is_empty()
         };
-        if faults >= MOST_FAULTS && !waits {
-            return Err(io::Error::other("too many messages that cannot be used"));
+        if let Some(over) = over.take_if(|_| !waits) {
+            return Err(over);
         }
-        let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+        let interest = match (waits, over.is_some()) {
+            (false, _) => Interest::READABLE,
+            (true, false) => Interest::READABLE | Interest::WRITABLE,
+            (true, true) => Interest::WRITABLE,
+        };
         let ready = async {
             tokio::time::sleep_until(read_from).await;
             stream.ready(interest).await
@@ -94,33 +101,43 @@
                 let useless = hub.lock().useless(hub.now(), id);
                 // A request that has come, though not yet to this program, has been taken.
                 let useless = useless.filter(|_| !is_unread(stream));
-                let half = half_since.filter(|since: &Instant| since.elapsed() > HALF).map(|_| "half a message");
-                if let Some(why) = useless.or(half) {
+                if let Some(why) = useless {
                     return Err(io::Error::other(why));
                 }
+                if half_since.is_some_and(|since: Instant| since.elapsed() > HALF) {
+                    half_since = None;
+                    over = Some(hear_no_more(hub, id, io::Error::other("half a message")));
+                }
             }
             ready = ready => {
-                if ready?.is_readable() {
-                    buffer.reserve(READ_BYTES);
-                    match stream.try_read_buf(&mut buffer) {
-                        Ok(0) => return Ok(()),
-                        Ok(_) => {
-                            let (whole, bad) = hear(hub, id, &mut buffer)?;
-                            if bad > 0 {
-                                faults += bad;
-                                read_from = Instant::now() + PENALTY;
-                            }
-                            half_since = match buffer.is_empty() {
-                                true => None,
-                                false if whole > 0 => Some(Instant::now()),
-                                false => half_since.or_else(|| Some(Instant::now())),
-                            };
-                            if buffer.is_empty() {
-                                buffer = BytesMut::new(); // Idle connections keep no memory.
-                            }
+                if ready?.is_readable() && over.is_none() {
+                    let heard = match hear_all(hub, id, stream, &mut buffer) {
+                        Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                            half_since = None;
+                            over = Some(hear_no_more(hub, id, error));
+                            continue;
                         }
-                        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                        Err(error) => return Err(error),
+                        heard => heard?,
+                    };
+                    let Turn { whole, bad, ended } = heard;
+                    if ended {
+                        return Ok(());
+                    }
+                    if bad > 0 {
+                        faults += bad;
+                        read_from = Instant::now() + PENALTY;
+                    }
+                    if faults >= MOST_FAULTS {
+                        let many = io::Error::other("too many messages that cannot be used");
+                        over = Some(hear_no_more(hub, id, many));
+                    }
+                    half_since = match buffer.is_empty() {
+                        true => None,
+                        false if whole > 0 => Some(Instant::now()),
+                        false => half_since.or_else(|| Some(Instant::now())),
+                    };
+                    if buffer.is_empty() {
+                        buffer = BytesMut::new(); // Idle connections keep no memory.
                     }
                 }
             }
@@ -128,6 +145,47 @@
     }
 }
 
+/// Nothing more is heard on a connection, for that reason; what was asked on it before is answered all the same.
+fn hear_no_more(hub: &Hub, id: u64, why: io::Error) -> io::Error {
+    hub.apply(Input::OwnerFaulty { link: id });
+    why
+}
+
+/// What one look at a connection brought.
+#[derive(Default)]
+struct Turn {
+    /// Count. Whole messages.
+    whole: u32,
+    /// Count. Those of them that cannot be used.
+    bad: u32,
+    /// Its client closed it.
+    ended: bool,
+}
+
+/// Takes all that has come on a connection before anything of it leaves for a machine: were part of it left unread, what the
+/// rest asks for would begin though the client's end stands behind it.
+fn hear_all(hub: &Hub, id: u64, stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<Turn> {
+    let (mut turn, mut read) = (Turn::default(), 0);
+    while read < TURN_BYTES && turn.bad < MOST_FAULTS {
+        buffer.reserve(READ_BYTES);
+        match stream.try_read_buf(buffer) {
+            Ok(0) => {
+                turn.ended = true;
+                break;
+            }
+            Ok(count) => {
+                read += count;
+                let (whole, bad) = hear(hub, id, buffer)?;
+                turn.whole += whole;
+                turn.bad += bad;
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(turn)
+}
+
 /// Takes all whole messages that have come; tells how many, and how many of them cannot be used.
 fn hear(hub: &Hub, id: u64, buffer: &mut BytesMut) -> io::Result<(u32, u32)> {
     let (mut whole, mut bad) = (0, 0);
--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -7,6 +7,8 @@
 //! print stand as `\xNN`. In a transcript, ids that the program drew stand as `J1`…, times as `T`.
 #![allow(dead_code)]
 
+pub mod protocol;
+
 use burlhook_lab::node::{Node, Plan};
 use burlhook_lab::Clock;
 use serde_json::{json, Value};
@@ -134,6 +136,12 @@
         self.signal("-HUP");
     }
 
+    /// Writes a configuration that differs so, for its next reload.
+    pub fn rewrite(&mut self, change: impl FnOnce(&mut Value)) {
+        change(&mut self.config);
+        std::fs::write(&self.path, self.config.to_string()).expect("a configuration");
+    }
+
     /// Has it read another operators' file, as it stands.
     pub fn reload_operators(&self, text: impl AsRef<[u8]>) {
         std::fs::write(self.operators.as_ref().expect("it has one"), text).expect("an operators' file");
@@ -153,7 +161,8 @@
         out
     }
 
-    fn signal(&self, name: &str) {
+    /// Sends it a signal, by the word that `kill` takes.
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
     }
@@ -199,6 +208,8 @@
                 Ok(0) => return None,
                 Ok(count) => self.bytes.extend(&more[..count]),
                 Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                // A read with a time limit is broken off where the system stops this process for a moment.
+                Err(e) if e.kind() == std::io::ErrorKind::Interrupted => {}
                 Err(e) => panic!("nothing came: {e}; so far {:?}", escape(&self.bytes)),
             }
         }
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -3,98 +3,22 @@
 
 mod exchange;
 
+use exchange::protocol::{
+    accept, answered, close, event, give_up, listener, running, set_up, stop, test, told, ANSWER, RELEASE,
+};
 use exchange::{fill, instance, settings, short_box, unescape, Planner, Wire};
 use serde_json::{json, Value};
-use std::io::Read;
+use socket2::SockRef;
+use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener};
 use std::time::{Duration, Instant};
 
+/// Far longer than anything takes: it only ends a test that hangs.
+const PATIENCE: Duration = Duration::from_secs(20);
 /// Rounds of a crossing in which the program picks at random among what is ready.
 const ROUNDS: u64 = 8;
-/// Causes of releases.
-/// Types of the owners' messages.
-const ANSWER: u8 = 9;
-const RELEASE: u8 = 12;
-
-/// A set-up in the owners' words.
-fn set_up(task: u64, class: &str, wait_ms: u32, body: &str) -> Vec<u8> {
-    let key = format!("{task:016x}");
-    let figures = "cores:1;memory:2;service:00000000000000aa";
-    let wait = wait_ms.to_string();
-    let all = [(3, class), (4, &wait), (7, "c"), (8, figures), (16, &key), (18, body)];
-    message(1, task, &all.map(|(code, text)| (code, text.as_bytes())))
-}
-
-fn message(kind: u8, task: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
-    let mut out = vec![kind];
-    out.extend(task.to_be_bytes());
-    for (code, value) in parameters {
-        out.push(*code);
-        out.extend((value.len() as u16).to_be_bytes());
-        out.extend(*value);
-    }
-    let mut whole = (out.len() as u16).to_be_bytes().to_vec();
-    whole.extend(out);
-    whole
-}
-
-/// A set-up given up.
-fn give_up(task: u64) -> Vec<u8> {
-    message(12, task, &[(17, &[16])])
-}
-
-/// The planner's own test, which every planner answers in its turn.
-fn test(task: u64) -> Vec<u8> {
-    message(52, task, &[(17, &[0])])
-}
-
-fn running(task: u64) -> Vec<u8> {
-    format!("{}\n", json!({"kind": "running", "uid": format!("{task:016x}"), "meta": {}, "body": "here"}))
-        .into()
-}
-
-fn stop(task: u64, cause: u8) -> Vec<u8> {
-    format!("{}\n", json!({"kind": "stop", "uid": format!("{task:016x}"), "meta": {}, "reason": cause}))
-        .into()
-}
-
-fn read(line: &[u8]) -> Value {
-    serde_json::from_slice(line).expect("a message")
-}
-
-/// The number of the task of a line, and its type.
-fn told(line: &[u8]) -> (String, u64) {
-    let said = read(line);
-    let task = u64::from_str_radix(said["uid"].as_str().expect("an id"), 16).expect("an id");
-    (said["kind"].as_str().expect("a type").to_string(), task)
-}
-
-fn listener() -> (TcpListener, String) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("its address").to_string();
-    (listener, address)
-}
-
-fn accept(listener: &TcpListener) -> Wire {
-    Wire::new(listener.accept().expect("the planner connects").0)
-}
-
-/// Closes a connection now: a process that another test just starts may hold its descriptor for a moment more.
-fn close(wire: Wire) {
-    wire.stream.shutdown(Shutdown::Both).expect("it is up");
-}
-
-fn event(rev: u64, instances: &[Value]) -> Vec<u8> {
-    format!("{}\n", json!({"rev": rev, "pool": {"reset": false, "instances": instances}})).into()
-}
-
-/// How an answer to an owner reads: its type, its task, and its cause where it has one.
-fn answered(wire: &mut Wire) -> Option<(u8, u64, Option<u8>)> {
-    let frame = wire.frame()?;
-    let task = u64::from_be_bytes(frame[3..11].try_into().expect("eight bytes"));
-    let cause = (frame[2] == RELEASE).then(|| frame.last().copied()).flatten();
-    Some((frame[2], task, cause))
-}
+/// The cause of a release whose task may have run.
+const ERROR: u8 = 47;
 
 /// Guards machines against work that nobody waits for: what a client that has left had sent before is read at a measured
 /// pace where part of it cannot be used, and none of it may begin meanwhile.
@@ -194,6 +118,40 @@
     }
 }
 
+/// Guards what runs once against a machine's answer that is the last thing before its connection is reset, while another
+/// set-up is about to be written there.
+#[test]
+fn an_answer_right_before_a_reset_counts() {
+    let (machine, address) = listener();
+    let planner = Planner::start(&[address], None, None);
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    for round in 1..=ROUNDS {
+        let (first, second) = (2 * round, 2 * round + 1);
+        client.send(&set_up(first, "once", 8000, "x"));
+        // What is left of the round before comes ahead of it, and a link that was gone over from ends.
+        loop {
+            match link.line().map(|line| told(&line)) {
+                Some(said) if said == ("launch".into(), first) => break,
+                Some((_, task)) => assert_eq!(task, first - 1),
+                None => link = accept(&machine),
+            }
+        }
+        planner.paused(|| {
+            client.send(&set_up(second, "stateless", 8000, "x"));
+            link.send(&running(first));
+            SockRef::from(&link.stream).set_linger(Some(Duration::ZERO)).expect("a reset");
+            drop(link);
+        });
+        link = accept(&machine);
+        assert_eq!(answered(&mut client), Some((ANSWER, first, None)), "round {round}");
+        // Whether the other one left on the old connection is left to chance; nobody waits for it.
+        client.send(&give_up(second));
+        client.send(&test(99));
+        while answered(&mut client).expect("its test").0 != 53 {}
+    }
+}
+
 /// Guards what a planner that is told to stop has taken: a pause of the process over the time in which it takes requests must
 /// not have it end before it has heard what came meanwhile, also on a connection that nobody accepted yet.
 #[test]
@@ -320,6 +278,52 @@
     }
 }
 
+/// Guards requests on a connection of which nothing more can be heard: each that was taken has its answer before it is closed.
+#[test]
+fn what_was_asked_before_a_spoilt_message_is_answered() {
+    let bad = unescape("\\x00\\x09\\x01\\x00\\x00\\x00\\x00\\x00\\x00\\x00\\x63");
+    let half = set_up(2, "stateless", 8000, "x");
+    for (what, spoilt) in [
+        ("a frame", vec![0, 3, 1, 2, 3]),
+        ("too many", bad.repeat(16)),
+        ("half a message", half[..20].to_vec()),
+    ] {
+        let (machine, address) = listener();
+        let planner = Planner::start(&[address], None, None);
+        let mut link = accept(&machine);
+        let mut client = Wire::connect(&planner.owners);
+        client.send(&set_up(1, "stateless", 8000, "x"));
+        assert_eq!(told(&link.line().expect("a set-up")), ("launch".into(), 1));
+        client.send(&spoilt);
+        let mut all = Vec::new();
+        while let Some(answer) = answered(&mut client) {
+            all.push(answer);
+        }
+        let of_first: Vec<_> = all.iter().filter(|(_, task, _)| *task == 1).collect();
+        assert_eq!(of_first, [&(RELEASE, 1, Some(ERROR))], "{what}: {all:?}");
+        assert_eq!(told(&link.line().expect("a word")), ("stop".into(), 1), "{what}: it is given up");
+    }
+}
+
+/// Guards the list against a board that writes and never ends a line: that is silence, too.
+#[test]
+fn a_board_that_never_ends_its_line_is_dialled_anew() {
+    let (board, at) = listener();
+    let _planner = Planner::start(&[], Some(&at), None);
+    let mut first = accept(&board);
+    assert_eq!(first.line().expect("watch N"), b"watch 1\n");
+    let again = std::thread::spawn(move || accept(&board).line());
+    // Far oftener than a board writes its lines; the last of it fails, or is read by nobody.
+    first.stream.set_read_timeout(Some(Duration::from_millis(50))).expect("a time-out");
+    let since = Instant::now();
+    while !again.is_finished() {
+        let _ = first.stream.write_all(b" ");
+        let _ = first.stream.read(&mut [0]);
+        assert!(since.elapsed() < PATIENCE, "it is taken to be alive");
+    }
+    assert_eq!(again.join().expect("it is dialled").expect("watch N"), b"watch 1\n");
+}
+
 /// Guards the list where the board moves while the old one is in the midst of an event: that part counts for nothing, and
 /// the new one is asked from the last whole event.
 #[test]
