Tell the module of all placers beside those that send to the same machines

Cause: quotas of tenants are over all placers, the budget of a cold machine and the band of others' binds are of those that send to the same machine. With parts of the machines the two counts differ. `Settings::all_placers` is new; only `over_quota` reads it.

--- a/src/decide/limits/tests.rs
+++ b/src/decide/limits/tests.rs
@@ -25,6 +25,7 @@
         tenants: vec![],
         zone: None,
         placers: 1,
+        all_placers: 1,
         ask_for_list: false,
         ask_every_s: 10.0,
         list_shows_room: true,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 //!     tenants: vec![],
 //!     zone: None,
 //!     placers: 2,
+//!     all_placers: 2,
 //!     ask_for_list: false,
 //!     ask_every_s: 10.0,
 //!     list_shows_room: true,
--- a/src/placer/interface.rs
+++ b/src/placer/interface.rs
@@ -166,8 +166,10 @@
     pub tenants: Vec<Tenant>,
     /// The zone of this placer, where known.
     pub zone: Option<ZoneId>,
-    /// How many placers there are.
+    /// How many placers send to the same machines.
     pub placers: u32,
+    /// How many placers there are in all: the tenants' quotas are over all of them.
+    pub all_placers: u32,
     /// The list of machines must be asked for.
     pub ask_for_list: bool,
     /// A placer without a subscription must ask at least this often.
@@ -216,7 +218,10 @@
                 "a kind of machine has no cores or no memory",
             ),
             (!(positive(self.cores_multiple) && positive(self.memory_multiple)), "machines accept nothing"),
-            (self.placers == 0 || self.max_attempts == 0, "there are no placers or no attempts"),
+            (
+                self.placers == 0 || self.all_placers == 0 || self.max_attempts == 0,
+                "there are no placers or no attempts",
+            ),
             (
                 self.classes.iter().any(|c| c.kind.is_some_and(|k| k >= self.kinds.len())),
                 "a class requires a kind that is not listed",
--- a/src/placer/rules.rs
+++ b/src/placer/rules.rs
@@ -812,7 +812,7 @@
 
     /// How likely a tenant is over its quota, judged by what it uses here and that figure's chance error.
     fn over_quota(&self, used: f64, task_cores: f64, quota: f64) -> f64 {
-        let placers = f64::from(self.settings.placers);
+        let placers = f64::from(self.settings.all_placers);
         let error = placers * (used * task_cores).sqrt();
         (0.5 + (placers * used - quota) / (2.0 * error.max(EPSILON))).clamp(0.0, 1.0)
     }
--- a/src/vocabulary.rs
+++ b/src/vocabulary.rs
@@ -252,6 +252,7 @@
         tenants: boot.tenants.iter().zip(quotas).map(|(_, &quota_cores)| Tenant { quota_cores }).collect(),
         zone: boot.zone.and_then(|z| place_of(&boot.areas, &z)).map(|z| ZoneId(z as u32)),
         placers: boot.n_instances,
+        all_placers: boot.n_instances,
         ask_for_list: boot.membership_mode == "ask",
         ask_every_s: boot.rules.ask_every_s,
         list_shows_room: family.shows_free,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -140,6 +140,29 @@
     assert!(!binds(&rig.feed(9.0, Event::Timer)).is_empty());
 }
 
+/// Guards tenants of a planner that serves a part: their quotas are over all placers, not over those that send to the same
+/// machines. What one uses here puts it over its quota with ten placers and not with two.
+#[test]
+fn a_quota_is_divided_among_all_placers() {
+    for (all_placers, first) in [(10, 2), (2, 1)] {
+        let mut wanted = settings(Effect::Repeatable);
+        (wanted.placers, wanted.all_placers) = (2, all_placers);
+        wanted.tenants = vec![Tenant { quota_cores: 50.0 }];
+        let mut rig = Rig::new(wanted, &[entry(0, 0.0)]);
+        let of_tenant = |task: Task| Task { tenant: Some(0), ..task };
+        let room = Room { cores: 5.5, memory: 1.0 };
+        let resident = of_tenant(Task { room, ..task(9, 50.0) });
+        rig.feed(1.5, Event::Resident { request: RequestId(9), task: resident, machine: MachineId(0) });
+        rig.submit(2.0, 1, of_tenant(task(1, 9.0)));
+        rig.submit(2.0, 2, task(2, 9.0));
+        let placed = rig.list(5.0, &[entry(0, 1.0)]).into_iter().find_map(|action| match action {
+            Action::Bind { request, .. } => Some(request.0),
+            _ => None,
+        });
+        assert_eq!(placed, Some(first), "of {all_placers}");
+    }
+}
+
 #[test]
 fn spread_counts_attempts_and_residents() {
     let mut wanted = settings(Effect::Repeatable);
