Serve a part of the machines, and borrow from beyond it

Change: the reducer keeps machines that the planner does not serve in a table (state/outside.rs): no connection, no entry in the module, no alarm, no test. Notices are routed by (part, borrowed, work of ours). A borrowed machine that may have come up anew gets nothing more, and what waits for it is taken back.

--- a/src/decide/groups/fit.rs
+++ b/src/decide/groups/fit.rs
@@ -57,11 +57,12 @@
     all
 }
 
-/// Looks whether a group may be let in. `share` is the most of the whole fleet that one group may ask for.
+/// Looks whether a group may be let in. `share` is the most of the whole fleet that one group may ask for, and `beyond`
+/// what of the fleet is not among the spaces.
 ///
 /// # Errors
 /// What it lacks.
-pub fn admit(needs: &[Need], spaces: &[Space], kept: &[Need], share: f64) -> Result<(), Lacks> {
+pub fn admit(needs: &[Need], spaces: &[Space], kept: &[Need], share: f64, beyond: Room) -> Result<(), Lacks> {
     let empty: Vec<Space> =
         spaces.iter().map(|s| Space { left: s.limit, offers: usize::MAX, ..*s }).collect();
     if !fits(needs, &empty, &[]) {
@@ -69,7 +70,7 @@
     }
     let sum = |rooms: &mut dyn Iterator<Item = Room>| rooms.fold(Room::default(), |all, room| all + room);
     let (asked, whole) = (sum(&mut needs.iter().map(|n| n.room)), sum(&mut spaces.iter().map(|s| s.limit)));
-    if asked.share_of(whole) > share {
+    if asked.share_of(whole + beyond) > share {
         return Err(Lacks::Share);
     }
     if fits(needs, spaces, kept) {
--- a/src/decide/groups/tests.rs
+++ b/src/decide/groups/tests.rs
@@ -184,23 +184,32 @@
     vec![Need { room: Room { cores, memory: cores }, kind: None }; count]
 }
 
+/// Nothing of the fleet lies beyond the spaces.
+const NOTHING: Room = Room { cores: 0.0, memory: 0.0 };
+
 /// Guards the fleet: a group is let in only where all of it fits, beside what others were promised.
 #[test]
 fn a_group_fits_whole_or_is_turned_away() {
     let spaces = [space(0, 4.0, 9), space(1, 4.0, 9)];
-    assert_eq!(admit(&needs(4, 2.0), &spaces, &[], 1.0), Ok(()));
-    assert_eq!(admit(&needs(5, 2.0), &spaces, &[], 1.0), Err(Lacks::Now));
-    assert_eq!(admit(&needs(2, 3.0), &spaces, &needs(1, 3.0), 1.0), Err(Lacks::Now), "one was promised");
-    assert_eq!(admit(&needs(1, 11.0), &spaces, &[], 1.0), Err(Lacks::Ever));
-    assert_eq!(admit(&needs(21, 1.0), &spaces, &[], 1.0), Err(Lacks::Ever), "larger than the fleet");
-    assert_eq!(admit(&needs(6, 1.0), &spaces, &[], 0.25), Err(Lacks::Share));
+    assert_eq!(admit(&needs(4, 2.0), &spaces, &[], 1.0, NOTHING), Ok(()));
+    assert_eq!(admit(&needs(5, 2.0), &spaces, &[], 1.0, NOTHING), Err(Lacks::Now));
+    assert_eq!(
+        admit(&needs(2, 3.0), &spaces, &needs(1, 3.0), 1.0, NOTHING),
+        Err(Lacks::Now),
+        "one was promised"
+    );
+    assert_eq!(admit(&needs(1, 11.0), &spaces, &[], 1.0, NOTHING), Err(Lacks::Ever));
+    assert_eq!(admit(&needs(21, 1.0), &spaces, &[], 1.0, NOTHING), Err(Lacks::Ever), "larger than the fleet");
+    assert_eq!(admit(&needs(6, 1.0), &spaces, &[], 0.25, NOTHING), Err(Lacks::Share));
     let cold = [space(0, 9.0, 1), space(1, 9.0, 2)];
     assert_eq!(
-        admit(&needs(4, 1.0), &cold, &[], 1.0),
+        admit(&needs(4, 1.0), &cold, &[], 1.0, NOTHING),
         Err(Lacks::Now),
         "a cold machine bears so many offers"
     );
-    assert_eq!(admit(&needs(3, 1.0), &cold, &[], 1.0), Ok(()));
+    assert_eq!(admit(&needs(3, 1.0), &cold, &[], 1.0, NOTHING), Ok(()));
+    let beyond = Room { cores: 20.0, memory: 40.0 };
+    assert_eq!(admit(&needs(6, 1.0), &spaces, &[], 0.25, beyond), Ok(()), "the share is of the whole fleet");
 }
 
 /// Guards clients: the time to come back follows from what is short and how fast room comes free.
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod operators;
 
+use crate::decide::fleet::settings::FleetSettings;
 use crate::placer::{ListKind, Seconds, Settings};
 use crate::state::{Core, Input, Keep};
 use crate::vocabulary::{self, Vocabulary};
@@ -143,7 +144,13 @@
         over_s: rest.keep_over_s,
         ..nothing
     });
-    Core::new(settings, words, config.seed, keep).map_err(|e| ConfigError::Settings(e.to_string()))
+    let core = Core::new(settings, words, config.seed, keep);
+    let mut core = core.map_err(|e| ConfigError::Settings(e.to_string()))?;
+    let fleet = operators.and_then(|o| o.fleet.as_ref());
+    if let Some((subsets, parts)) = fleet.and_then(FleetSettings::subsets) {
+        core.serve_part(subsets, parts);
+    }
+    Ok(core)
 }
 
 /// Puts what an operators' file says in force for what comes from now on.
--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -13,6 +13,8 @@
     Group(GroupId),
     ForgetGroup(GroupId),
     Fleet,
+    Reach,
+    Loans,
 }
 
 fn micros(at: Seconds) -> u64 {
@@ -51,11 +53,16 @@
                     if machine.is_some_and(|machine| !self.nodes.contains_key(&machine)) {
                         self.standing_over(now, job, Outcome::Lost, Reason::Unknown, None, effects);
                     }
+                    if let Some(machine) = machine {
+                        self.outside.awaited.remove(&machine);
+                    }
                 }
                 Alarm::Forget(job) => self.forget(job, effects),
                 Alarm::Group(group) => self.group_hears(now, group, groups::Event::Tick, effects),
                 Alarm::ForgetGroup(group) => self.forget_group(group, effects),
                 Alarm::Fleet => self.fleet_tick(now, effects),
+                Alarm::Reach => self.reach(now, effects),
+                Alarm::Loans => self.tend_loans(now, effects),
             }
         }
         if placer {
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -21,11 +21,11 @@
         give_up_at: Seconds,
         effects: &mut Vec<Effect>,
     ) -> Option<Event> {
+        let entry = self.nodes.get(&machine).map(|n| n.entry);
+        let ready = self.nodes.get(&machine).is_some_and(|node| self.is_open(machine, node));
         let job = self.jobs.get_mut(&id)?;
         let attempt = job.attempts;
         job.attempts += 1;
-        let entry = self.nodes.get(&machine).map(|n| n.entry);
-        let ready = entry.is_some_and(|e| e.standing == Standing::Ready);
         let spot = entry.map_or(Spot { machine, zone: ZoneId(0), cell: CellId(0) }, |e| e.spot());
         let limits = job.task.limits;
         // A group tries a member again only once its earlier copy is proved gone; the window holds all the same.
@@ -137,9 +137,13 @@
         let (finished, unheard) = (job.phase != Phase::Pending, job.unheard);
         let last = !finished && (unheard || self.is_last(now, id));
         self.changed(id, ChangeKind::Modified, effects);
+        if !finished && !last && !outcome.never_ran() {
+            self.reach_before_failing(now, id, effects);
+        }
         let (request, attempt, reason) = (id, trial.attempt, why);
         let end = End { request, attempt, outcome, reason, finished, last, report };
         self.feed(now, Event::Ended(end), effects);
+        self.seek(now, id, outcome == Outcome::Full);
     }
 
     /// A task that stood is over: its owner hears of it, unless the owner ended it.
@@ -155,8 +159,11 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.last = Some((outcome, why));
         let (owner, attempt) = (job.owner, job.attempts.saturating_sub(1));
-        let room = job.task.room;
+        let (room, machine) = (job.task.room, job.machine);
         self.groups.ends.count(now, room);
+        if let Some(machine) = machine.filter(|_| outcome == Outcome::Lost) {
+            self.withdraw(now, machine, effects);
+        }
         if outcome != Outcome::Cancelled {
             effects.push(Effect::Released { owner, job: id, outcome });
         }
--- a/src/state/ghosts.rs
+++ b/src/state/ghosts.rs
@@ -2,7 +2,7 @@
 //! while its first copy may run is not sent anew, as no machine could tell the two apart.
 
 use crate::placer::{MachineId, RequestId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Count. Ids that are remembered, the newest ones: some 100 bytes each.
 pub(super) const MOST_GHOSTS: usize = 4096;
@@ -51,6 +51,11 @@
         order.retain(|job| machines.contains_key(job));
     }
 
+    /// The machines that may hold a copy of any job.
+    pub fn machines(&self) -> BTreeSet<MachineId> {
+        self.machines.values().flatten().copied().collect()
+    }
+
     /// Whether a copy of that job may run.
     pub fn may_run(&self, job: RequestId) -> bool {
         self.machines.contains_key(&job)
--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -327,14 +327,21 @@
             open.map(|member| need(&self.settings, &b.members[member])).collect()
         };
         let kept: Vec<Need> = self.groups.books.iter().flat_map(promised).collect();
-        let spaces = self.placer.spaces(now);
-        let event = match fit::admit(&needs, &spaces, &kept, book.share) {
+        let (share, beyond) = (book.share, self.limit_beyond());
+        let mut spaces = self.placer.spaces(now);
+        let mut verdict = fit::admit(&needs, &spaces, &kept, share, beyond);
+        if verdict.is_err() && self.borrow_for_group(now, &needs, effects) {
+            spaces = self.placer.spaces(now);
+            verdict = fit::admit(&needs, &spaces, &kept, share, self.limit_beyond());
+        }
+        let event = match verdict {
             Ok(()) => Event::LetIn,
-            Err(Lacks::Now) => {
+            // What the part could never hold the fleet may.
+            Err(lacks) if lacks == Lacks::Now || (lacks == Lacks::Ever && beyond != Room::default()) => {
                 let (ends, mean) = (self.groups.ends.rate(now), self.groups.ends.mean());
                 Event::NoRoom { retry_in_s: fit::away(&needs, &spaces, ends, mean) }
             }
-            Err(Lacks::Ever | Lacks::Share) => Event::NoRoom { retry_in_s: NEVER_RETRY_S },
+            Err(_) => Event::NoRoom { retry_in_s: NEVER_RETRY_S },
         };
         self.group_hears(now, id, event, effects);
     }
@@ -419,6 +426,11 @@
         jobs.into_iter().for_each(|job| self.prove_gone(job, machine));
     }
 
+    /// The machines that may hold a member's copy which was told to go.
+    pub(super) fn cut_machines(&self) -> BTreeSet<MachineId> {
+        self.groups.cuts.values().flat_map(|cut| cut.machines.iter().copied()).collect()
+    }
+
     /// A machine is there again: the first that it hears is what it is to cut.
     pub(super) fn cut_again(&mut self, machine: MachineId, effects: &mut Vec<Effect>) {
         let here = |(_, cut): &(&RequestId, &Cut)| cut.machines.contains(&machine);
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -170,6 +170,7 @@
         self.changed(id, ChangeKind::Added, effects);
         self.alarm(task.deadline + FORCED_ANSWER_S, Alarm::Answer(id));
         self.feed(now, Event::Submitted { request: id, task }, effects);
+        self.seek(now, id, false);
     }
 
     /// An id that is in use comes again. On another connection that is not its owner's doing, and nothing is said
@@ -264,9 +265,16 @@
         if let Some(job) = self.jobs.get_mut(&id) {
             (job.attempts, job.machine, job.placed_at) = (1, Some(machine), now);
         }
+        if self.outside.table.contains(machine) {
+            // Its end is to be heard of wherever it stands.
+            self.borrow(now, &[machine], effects);
+        }
         if let Some(node) = self.nodes.get_mut(&machine) {
             node.standing.insert(id);
         } else {
+            if self.outside.is_on() {
+                self.outside.awaited.insert(machine);
+            }
             // A machine that nobody knows will never tell of its end.
             self.alarm(now + UNLISTED_S, Alarm::Unlisted(id));
         }
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -60,6 +60,7 @@
     ) {
         if matches!(kind, ListKind::Whole | ListKind::Persisted) {
             let named: BTreeSet<MachineId> = notices.iter().map(|n| n.entry.machine).collect();
+            self.keep_named(&named);
             let missing = self.nodes.iter().filter(|(id, _)| !named.contains(id));
             let gone = |n: &Node| Notice {
                 entry: Entry { standing: Standing::Gone, ..n.entry },
@@ -68,9 +69,10 @@
             notices.extend(missing.map(|(_, n)| gone(n)).collect::<Vec<_>>());
         }
         self.replace(&mut notices);
+        self.route(now, &mut notices);
         let restarted: Vec<(MachineId, Seconds)> =
             notices.iter().filter_map(|n| self.notice(n, effects)).collect();
-        let entries: Vec<Entry> = notices.into_iter().map(|n| n.entry).collect();
+        let entries: Vec<Entry> = notices.into_iter().map(|n| self.as_heard(n.entry)).collect();
         let gone: Vec<MachineId> =
             entries.iter().filter(|e| e.standing == Standing::Gone).map(|e| e.machine).collect();
         // The module hears of drains before what they set free is placed again.
@@ -84,18 +86,32 @@
             self.machine_lost(now, machine, effects);
             self.prove_all_gone(machine);
             self.machine_changed(machine, ChangeKind::Deleted, effects);
+            self.outside.loans.remove(&machine);
             if self.nodes.remove(&machine).is_some() {
                 effects.push(Effect::Disconnect { machine });
             }
         }
         self.forget_names();
-        let drains = |(_, n): &(&MachineId, &Node)| n.entry.standing != Standing::Ready;
+        let drains = |(&id, n): &(&MachineId, &Node)| !self.is_open(id, n);
         let drains: Vec<MachineId> = self.nodes.iter().filter(drains).map(|(&id, _)| id).collect();
+        self.take_back_unsent(now, &drains, effects);
+        if self.outside.is_on() {
+            self.cover_zones(now, effects);
+        }
+    }
+
+    /// Takes back what has not left for machines that take nothing more; it goes elsewhere.
+    pub(super) fn take_back_unsent(
+        &mut self,
+        now: Seconds,
+        machines: &[MachineId],
+        effects: &mut Vec<Effect>,
+    ) {
         let unsent = |&machine: &MachineId| {
             let jobs = self.tried(machine, |t| !t.left).into_iter();
             jobs.map(move |job| (job, machine)).collect::<Vec<_>>()
         };
-        let drained: Vec<(RequestId, MachineId)> = drains.iter().flat_map(unsent).collect();
+        let drained: Vec<(RequestId, MachineId)> = machines.iter().flat_map(unsent).collect();
         for (job, machine) in drained {
             effects.push(Effect::GiveUp { machine, job });
             self.trial_over(now, job, Outcome::Moot, Reason::Unknown, None, effects);
@@ -107,26 +123,33 @@
     pub(super) fn replace(&self, notices: &mut Vec<Notice>) {
         let mut gone = Vec::new();
         for notice in notices.iter_mut().filter(|n| n.entry.standing != Standing::Gone) {
-            let same =
-                |(id, n): &(&MachineId, &Node)| **id != notice.entry.machine && n.address == notice.address;
-            let Some((_, other)) = self.nodes.iter().find(same) else { continue };
-            if other.entry.started > notice.entry.started {
+            let Some(other) = self.at_address(&notice.address, notice.entry.machine) else { continue };
+            if other.started > notice.entry.started {
                 notice.entry.standing = Standing::Gone;
             } else if notice.entry.standing == Standing::Ready {
-                let entry = Entry { standing: Standing::Gone, ..other.entry };
-                gone.push(Notice { entry, address: other.address.clone() });
+                let entry = Entry { standing: Standing::Gone, ..other };
+                gone.push(Notice { entry, address: notice.address.clone() });
             }
         }
         notices.retain(|n| !gone.iter().any(|g| g.entry.machine == n.entry.machine));
         notices.splice(0..0, gone);
     }
 
+    /// Another machine that listens there, connected or beyond the part.
+    fn at_address(&self, address: &str, except: MachineId) -> Option<Entry> {
+        let same = |(id, n): &(&MachineId, &Node)| **id != except && n.address == address;
+        let connected = self.nodes.iter().find(same).map(|(_, node)| node.entry);
+        connected.or_else(|| self.outside.table.at_address(address, except))
+    }
+
     /// Forgets the names of machines that nothing refers to any more.
     pub(super) fn forget_names(&mut self) {
-        if self.words.machines() > 2 * self.nodes.len() + OLD_NAMES {
+        let listed = self.nodes.len() + self.outside.table.len();
+        if self.words.machines() > 2 * listed + OLD_NAMES {
             let of_jobs = self.jobs.values().filter_map(|j| j.machine);
             let used: BTreeSet<MachineId> = self.nodes.keys().copied().chain(of_jobs).collect();
-            self.words.keep_machines(|id| used.contains(&id));
+            let used = |id| used.contains(&id) || self.outside.table.contains(id);
+            self.words.keep_machines(used);
         }
     }
 
@@ -141,10 +164,7 @@
             if entry.standing != Standing::Gone {
                 let held = |j: &Job| j.machine == Some(id) && !j.phase.is_over();
                 let standing = self.jobs.iter().filter(|(_, j)| held(j)).map(|(&job, _)| job).collect();
-                let address = notice.address.clone();
-                effects.push(Effect::Connect { machine: id, address: address.clone() });
-                self.nodes.insert(id, Node::new(entry, address, standing));
-                self.machine_changed(id, ChangeKind::Added, effects);
+                self.connect_node(notice, standing, effects);
             }
             return None;
         };
@@ -164,6 +184,19 @@
         restarted.then_some((id, entry.started))
     }
 
+    /// Has a machine join those that are connected.
+    pub(super) fn connect_node(
+        &mut self,
+        notice: &Notice,
+        standing: BTreeSet<RequestId>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let (id, address) = (notice.entry.machine, notice.address.clone());
+        effects.push(Effect::Connect { machine: id, address: address.clone() });
+        self.nodes.insert(id, Node::new(notice.entry, address, standing));
+        self.machine_changed(id, ChangeKind::Added, effects);
+    }
+
     /// Ends what stood at a machine since before that time.
     pub(super) fn lose(
         &mut self,
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -13,6 +13,8 @@
 mod jobs;
 mod limits;
 mod machines;
+mod outside;
+mod reach;
 mod views;
 mod words;
 
@@ -25,6 +27,7 @@
 use jobs::{Job, Trial};
 use limits::InForce;
 use machines::Node;
+use outside::Outside;
 pub use views::{JobView, MachineView, Object};
 pub use words::{Ask, Effect, GroupAsk, GroupId, Input, Keep, Notice, Owed, Owner, Phase, Refusal, Spec};
 
@@ -69,6 +72,8 @@
     limits: InForce,
     groups: Groups,
     ghosts: Ghosts,
+    /// The machines beyond the planner's part.
+    outside: Outside,
 }
 
 impl Core {
@@ -99,6 +104,7 @@
             limits,
             groups: Groups::default(),
             ghosts: Ghosts::default(),
+            outside: Outside::default(),
         })
     }
 
@@ -235,10 +241,20 @@
             Input::Probed { machine, outcome, report } => {
                 self.feed(now, Event::Probed { machine, outcome, report }, effects);
             }
-            Input::DialFailed { machine } => self.break_trials(now, machine, false, Reason::Unknown, effects),
-            Input::DialRefused { machine, quiet_s } => self.dial_refused(now, machine, quiet_s, effects),
-            Input::LinkBroken { machine } => self.break_trials(now, machine, true, Reason::Broken, effects),
+            Input::DialFailed { machine } => {
+                self.withdraw(now, machine, effects);
+                self.break_trials(now, machine, false, Reason::Unknown, effects);
+            }
+            Input::DialRefused { machine, quiet_s } => {
+                self.withdraw(now, machine, effects);
+                self.dial_refused(now, machine, quiet_s, effects);
+            }
+            Input::LinkBroken { machine } => {
+                self.withdraw(now, machine, effects);
+                self.break_trials(now, machine, true, Reason::Broken, effects);
+            }
             Input::MachineLost { machine, proved } => {
+                self.withdraw(now, machine, effects);
                 self.machine_lost(now, machine, effects);
                 if proved {
                     self.prove_all_gone(machine);
--- a/src/wire/rest/limits.rs
+++ b/src/wire/rest/limits.rs
@@ -36,12 +36,12 @@
 
 /// What is in force: generation, digest, the file's places, what is counted, and the last refusal.
 pub(super) async fn get(State(front): State<Arc<Front>>) -> Answer {
-    let (view, names, of_fleet) = {
+    let (view, names, of_fleet, part) = {
         let mut inner = front.hub.lock();
         let now = front.hub.now();
         let view = inner.core.limits_view(now);
         let of_fleet = inner.core.fleet_view(now).map(|view| fleet(&view, &inner.peer_counts));
-        (view, inner.core.words().classes().to_vec(), of_fleet)
+        (view, inner.core.words().classes().to_vec(), of_fleet, inner.core.part_view())
     };
     let model = view.table.model();
     let classes: Map<String, Value> =
@@ -76,6 +76,10 @@
     if let Some(of_fleet) = of_fleet {
         body["fleet"] = of_fleet;
     }
+    if let Some(part) = part {
+        body["fleet"]["part"] = json!({"served": part.served, "borrowed": part.borrowed, "beyond": part.beyond,
+            "seeking": part.seeking});
+    }
     if view.generation > 0 {
         body["since"] = json!(stamp(view.since));
     }
