Merge the table of listed machines, and route what is beyond the part around it

The table books tasks of machines that the list has not named; the set that the part kept for that is gone.

--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -50,12 +50,9 @@
                 Alarm::Unlisted(job) => {
                     let machine =
                         self.jobs.get(&job).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
-                    if machine.is_some_and(|machine| !self.nodes.contains_key(&machine)) {
+                    if machine.is_some_and(|machine| !self.nodes.contains(machine)) {
                         self.standing_over(now, job, Outcome::Lost, Reason::Unknown, None, effects);
                     }
-                    if let Some(machine) = machine {
-                        self.outside.awaited.remove(&machine);
-                    }
                 }
                 Alarm::Forget(job) => self.forget(job, effects),
                 Alarm::Group(group) => self.group_hears(now, group, groups::Event::Tick, effects),
--- a/src/state/outside.rs
+++ b/src/state/outside.rs
@@ -246,8 +246,6 @@
     pub returned: VecDeque<(Seconds, MachineId)>,
     /// Machines that may be cold though the list does not say so, and until when they are not borrowed.
     pub barred: BTreeMap<MachineId, Seconds>,
-    /// Machines at which adopted tasks are said to stand, and that the list has not named yet.
-    pub awaited: BTreeSet<MachineId>,
     pub seeking: BTreeMap<RequestId, Seek>,
     pub pace: Pace,
     /// When the next step and the next look at what is borrowed are due, where they are.
@@ -288,6 +286,11 @@
         self.loans.get(&machine).is_some_and(|loan| loan.withdrawn)
     }
 
+    /// The machines that are borrowed and may be cold.
+    pub fn withdrawn(&self) -> impl Iterator<Item = MachineId> + '_ {
+        self.loans.iter().filter(|(_, loan)| loan.withdrawn).map(|(&machine, _)| machine)
+    }
+
     /// Machines that may still be borrowed.
     pub fn spare(&self) -> usize {
         self.most.saturating_sub(self.loans.len() + self.returned.len())
@@ -406,7 +409,7 @@
     /// Has the planner serve its part of the machines alone; before any list. The module is told of as many placers as send
     /// to the same machines: the tenants' quotas stay over all of them.
     pub fn serve_part(&mut self, subsets: Subsets, parts: Parts) {
-        debug_assert!(self.nodes.is_empty(), "parts are settled before machines are known");
+        debug_assert!(self.nodes.len() == 0, "parts are settled before machines are known");
         let planners = subsets.planners();
         self.outside.table.salt = self.seed;
         self.outside.named_zones = self.words.zones().len() as u32;
@@ -463,19 +466,18 @@
     /// cold: it is offered work by those that serve it alone.
     fn is_routed_in(&mut self, now: Seconds, notice: &Notice) -> bool {
         let (id, entry) = (notice.entry.machine, notice.entry);
-        if let Some(node) = self.nodes.get(&id) {
-            let restarted = entry.started > node.entry.started;
+        if let Some(node) = self.nodes.get(id) {
+            let restarted = entry.started > node.entry().started;
             let cold = restarted || is_cold(now, &entry, &self.settings);
             if let Some(loan) = self.outside.loans.get_mut(&id) {
                 loan.withdrawn |= cold;
             }
             return true;
         }
-        let awaited = self.outside.awaited.remove(&id);
         if self.outside.serves(entry.key) {
             return true;
         }
-        if awaited && entry.standing != Standing::Gone {
+        if self.nodes.is_awaited(id) && entry.standing != Standing::Gone {
             self.outside.table.remove(id);
             let withdrawn = is_cold(now, &entry, &self.settings);
             self.outside.loans.insert(id, Loan { withdrawn, used_at: now });
@@ -516,9 +518,9 @@
         }
     }
 
-    /// Whether a machine may be sent something new.
-    pub(super) fn is_open(&self, machine: MachineId, node: &Node) -> bool {
-        node.entry.standing == Standing::Ready && !self.outside.is_withdrawn(machine)
+    /// Whether a connected machine may be sent something new.
+    pub(super) fn is_open(&self, entry: &Entry) -> bool {
+        entry.standing == Standing::Ready && !self.outside.is_withdrawn(entry.machine)
     }
 
     /// What the ready machines beyond the part accept in all.
--- a/src/state/outside/tests.rs
+++ b/src/state/outside/tests.rs
@@ -186,11 +186,11 @@
     let (_, machine) = world.planner.offers[0];
     assert!(world.planner.core.outside.is_withdrawn(machine));
     world.run_until(world.now + 8.0);
-    assert!(world.planner.core.nodes.contains_key(&machine), "word of the copy is awaited");
+    assert!(world.planner.core.nodes.contains(machine), "word of the copy is awaited");
     let (before, after, why) = (Outcome::Lost, Outcome::Lost, Reason::Unknown);
     world.apply(Input::Ended { machine, job: RequestId(3), before, after, why, report: None });
     world.run_until(world.now + 2.0);
-    assert!(!world.planner.core.nodes.contains_key(&machine));
+    assert!(!world.planner.core.nodes.contains(machine));
 }
 
 /// Guards the log and the views: the names of machines beyond the part are kept.
@@ -242,7 +242,7 @@
             world.run_until(world.now + 1.0);
         }
         world.run_until(world.now + 20.0);
-        assert!(world.planner.core.nodes.contains_key(&machine), "it is kept while the task stands");
+        assert!(world.planner.core.nodes.contains(machine), "it is kept while the task stands");
         let end = Input::Ended {
             machine,
             job: RequestId(9),
@@ -253,7 +253,7 @@
         };
         world.apply(end);
         world.run_until(world.now + 20.0);
-        assert!(!world.planner.core.nodes.contains_key(&machine), "and given back then");
+        assert!(!world.planner.core.nodes.contains(machine), "and given back then");
     }
 }
 
@@ -263,8 +263,8 @@
     let mut world = World::new(part_core(), MACHINES);
     let core = &world.planner.core;
     let of_zone = |core: &Core| -> Vec<MachineId> {
-        let nodes = core.nodes.iter().filter(|(_, n)| n.entry.zone == ZoneId(2));
-        nodes.map(|(&id, _)| id).collect()
+        let nodes = core.nodes.iter().filter(|(_, n)| n.entry().zone == ZoneId(2));
+        nodes.map(|(id, _)| id).collect()
     };
     for id in of_zone(core) {
         world.happen(Happens::Drain(id.0));
@@ -312,7 +312,7 @@
     for own in 0..planners {
         let mut world = World::new(core_of_part(machines as usize, (planners, own, replicas)), 0);
         world.run_until(110.0);
-        for n in (0..machines).filter(|n| (n + 3 * own as u32) % 20 != 0) {
+        for n in (0..machines).filter(|n| !(n + 3 * own as u32).is_multiple_of(20)) {
             world.machines.insert(MachineId(n), machine(n, world.now - 1.0));
         }
         world.tell_all();
--- a/src/state/outside/world.rs
+++ b/src/state/outside/world.rs
@@ -280,7 +280,7 @@
     /// Every listed machine is in one place: connected if it is served, borrowed or worked on, else in the table.
     fn check(&self) {
         let core = &self.planner.core;
-        let nodes: BTreeSet<MachineId> = core.nodes.keys().copied().collect();
+        let nodes: BTreeSet<MachineId> = core.nodes.iter().map(|(id, _)| id).collect();
         let beyond: BTreeSet<MachineId> = core.outside.table.machines().collect();
         assert!(nodes.is_disjoint(&beyond), "a machine is in two places");
         let listed: BTreeSet<MachineId> = self.planner.list.keys().copied().collect();
@@ -290,9 +290,9 @@
             "table and nodes are the list"
         );
         assert_eq!(nodes, self.planner.connected, "what is connected is what is a node");
-        for (id, node) in &core.nodes {
-            let is_loan = core.outside.loans.contains_key(id);
-            assert_eq!(core.outside.serves(node.entry.key), !is_loan, "{id:?} is served or borrowed");
+        for (id, node) in core.nodes.iter() {
+            let is_loan = core.outside.loans.contains_key(&id);
+            assert_eq!(core.outside.serves(node.entry().key), !is_loan, "{id:?} is served or borrowed");
         }
         let running: BTreeSet<MachineId> =
             core.jobs.values().filter(|j| j.phase == Phase::Running).filter_map(|j| j.machine).collect();
@@ -430,14 +430,14 @@
             }
             Happens::Replace { old, new } => {
                 let (old, new) = (MachineId(old), MachineId(new));
-                let Some(machine_) =
+                let Some(replaced) =
                     self.machines.get_mut(&old).filter(|m| m.entry.standing == Standing::Ready)
                 else {
                     return;
                 };
-                machine_.entry.standing = Standing::Gone;
-                machine_.tasks.clear();
-                let address = machine_.address.clone();
+                replaced.entry.standing = Standing::Gone;
+                replaced.tasks.clear();
+                let address = replaced.address.clone();
                 self.machines.insert(new, Machine { address, ..machine(new.0, self.now) });
                 self.break_off(old);
                 // The list tells of the new one first.
--- a/src/state/reach.rs
+++ b/src/state/reach.rs
@@ -12,8 +12,8 @@
 use super::*;
 use crate::decide::groups::fit;
 use crate::decide::subsets::reach::{
-    AFTER_REFUSAL_S, BROKE_OFF_S, BORROWED_A_STEP, BORROWED_BEFORE_FAILING, BORROWED_FOR_JOB, IDLE_S, JOBS_A_STEP,
-    LOOKED_A_STEP, LOOKED_FOR_GROUP, REMEMBERED_S, UNPROVED_S,
+    AFTER_REFUSAL_S, BORROWED_A_STEP, BORROWED_BEFORE_FAILING, BORROWED_FOR_JOB, BROKE_OFF_S, IDLE_S,
+    JOBS_A_STEP, LOOKED_A_STEP, LOOKED_FOR_GROUP, REMEMBERED_S, UNPROVED_S,
 };
 
 /// Seconds. Time between looks at what is borrowed.
@@ -113,11 +113,11 @@
         let Some(need) = self.need_of(id) else { return };
         let tried: Vec<MachineId> =
             self.jobs.get(&id).map_or(vec![], |job| job.past.iter().map(|past| past.machine).collect());
-        let lies = |machine: MachineId| match (need.within, self.nodes.get(&machine)) {
+        let lies = |machine: MachineId| match (need.within, self.nodes.get(machine)) {
             (_, None) => false,
             (Within::Anywhere, _) => true,
-            (Within::Zone(zone), Some(node)) => node.entry.zone == zone,
-            (Within::Cell(cell), Some(node)) => node.entry.cell == cell,
+            (Within::Zone(zone), Some(node)) => node.entry().zone == zone,
+            (Within::Cell(cell), Some(node)) => node.entry().cell == cell,
             (Within::Machine(only), _) => machine == only,
         };
         let of_kind = |kind: Option<usize>| need.kind.is_none() || need.kind == kind;
@@ -169,8 +169,7 @@
             let withdrawn = is_cold(now, &notice.entry, &self.settings);
             self.outside.loans.insert(machine, Loan { withdrawn, used_at: now });
             self.outside.returned.retain(|(_, other)| *other != machine);
-            // Nothing of this planner's stands at a machine of the table.
-            self.connect_node(&notice, BTreeSet::new(), effects);
+            self.connect_node(&notice, effects);
             entries.push(self.as_heard(notice.entry));
         }
         if !entries.is_empty() {
@@ -187,7 +186,7 @@
         if std::mem::replace(&mut loan.withdrawn, true) {
             return;
         }
-        let Some(entry) = self.nodes.get(&machine).map(|node| node.entry) else { return };
+        let Some(entry) = self.nodes.get(machine).map(|node| node.entry()) else { return };
         let entries = vec![self.as_heard(entry)];
         self.feed(now, Event::List { kind: ListKind::Changes, entries }, effects);
         self.take_back_unsent(now, &[machine], effects);
@@ -219,14 +218,14 @@
     fn reopen(&mut self, now: Seconds, effects: &mut Vec<Effect>) {
         let mut warm = Vec::new();
         for (machine, loan) in &mut self.outside.loans {
-            let Some(node) = self.nodes.get(machine).filter(|_| loan.withdrawn) else { continue };
+            let Some(node) = self.nodes.get(*machine).filter(|_| loan.withdrawn) else { continue };
             let is_barred = self.outside.barred.contains_key(machine);
-            if node.entry.standing == Standing::Ready
+            if node.entry().standing == Standing::Ready
                 && !is_barred
-                && !is_cold(now, &node.entry, &self.settings)
+                && !is_cold(now, &node.entry(), &self.settings)
             {
                 loan.withdrawn = false;
-                warm.push(node.entry);
+                warm.push(node.entry());
             }
         }
         if !warm.is_empty() {
@@ -241,19 +240,19 @@
         let mut in_zone = self.open_in_zones();
         let mut idle = Vec::new();
         for (&machine, loan) in &mut self.outside.loans {
-            let Some(node) = self.nodes.get(&machine) else { continue };
+            let Some(node) = self.nodes.get(machine) else { continue };
             if !node.standing.is_empty() || !node.trying.is_empty() {
                 loan.used_at = now;
                 continue;
             }
-            let is_open = node.entry.standing == Standing::Ready && !loan.withdrawn;
+            let is_open = node.entry().standing == Standing::Ready && !loan.withdrawn;
             let rested = now - loan.used_at;
             let is_kept = cut.contains(&machine) || unproved.contains(&machine) && rested < UNPROVED_S;
             if is_kept || (is_open && rested < IDLE_S) {
                 continue;
             }
-            if let Some(open) = in_zone.get_mut(&node.entry.zone).filter(|_| is_open) {
-                if *open == 1 && node.entry.zone.0 < self.outside.named_zones {
+            if let Some(open) = in_zone.get_mut(&node.entry().zone).filter(|_| is_open) {
+                if *open == 1 && node.entry().zone.0 < self.outside.named_zones {
                     continue; // The planner's only one in its zone.
                 }
                 *open -= 1;
@@ -268,16 +267,16 @@
         if machines.is_empty() {
             return;
         }
-        let rests = |node: &Node| Entry { standing: Standing::Draining, ..node.entry };
-        let entries = machines.iter().filter_map(|id| self.nodes.get(id)).map(rests).collect();
+        let rests = |node: &Node| Entry { standing: Standing::Draining, ..node.entry() };
+        let entries = machines.iter().filter_map(|&id| self.nodes.get(id)).map(rests).collect();
         self.feed(now, Event::List { kind: ListKind::Changes, entries }, effects);
         for &machine in machines {
             self.machine_changed(machine, ChangeKind::Deleted, effects);
-            let Some(node) = self.nodes.remove(&machine) else { continue };
+            let Some(node) = self.nodes.remove(machine) else { continue };
             debug_assert!(node.standing.is_empty() && node.trying.is_empty(), "work goes on there");
             self.outside.loans.remove(&machine);
             self.outside.returned.push_back((now, machine));
-            self.outside.table.insert(&Notice { entry: node.entry, address: node.address });
+            self.outside.table.insert(&Notice { entry: node.entry(), address: node.address().to_string() });
             effects.push(Effect::Disconnect { machine });
         }
     }
@@ -285,8 +284,8 @@
     /// How many machines may be sent something in each zone.
     fn open_in_zones(&self) -> BTreeMap<ZoneId, usize> {
         let mut zones = BTreeMap::new();
-        for (_, node) in self.nodes.iter().filter(|(&id, node)| self.is_open(id, node)) {
-            *zones.entry(node.entry.zone).or_insert(0) += 1;
+        for (_, node) in self.nodes.iter().filter(|(_, node)| self.is_open(&node.entry())) {
+            *zones.entry(node.entry().zone).or_insert(0) += 1;
         }
         zones
     }
