--- a/src/state/outside/tests.rs
+++ b/src/state/outside/tests.rs
@@ -1,13 +1,17 @@
 //! The reducer with a part of the machines, held against one that sees them all, and against what must never happen.
 
+use super::table::{Listed, Position};
 use super::*;
 use crate::decide::fleet::settings as fleet_settings;
 use crate::decide::groups::{OnLoss, Phase as GroupPhase, Policy};
 use crate::document::{self, Item, Sink, Text};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use world::*;
+use scene::*;
+use world::World;
 
+#[path = "scene.rs"]
+mod scene;
 #[path = "world.rs"]
 mod world;
 
@@ -220,11 +224,11 @@
 fn what_stands_beyond_the_part_is_heard_of() {
     for listed in [true, false] {
         let mut world = World::new(part_core(), MACHINES);
-        let beyond = world.planner.core.outside.table.machines().next().expect("one beyond");
-        let machine = if listed { beyond } else { MachineId(5000) };
-        let stranger =
-            (5000..).find(|&n| !subsets(PLANNERS, 0, REPLICAS).serves(world::machine(n, 0.0).entry.key));
-        let machine = if listed { machine } else { MachineId(stranger.expect("one")) };
+        let serves = |n: u32| subsets(PLANNERS, 0, REPLICAS).serves(machine(n, 0.0).entry.key);
+        let stranger = (5000..).find(|&n| !serves(n)).map(MachineId);
+        let beyond = world.planner.core.outside.table.machines().next();
+        let at = if listed { beyond } else { stranger };
+        let at = at.expect("a machine that the planner does not serve");
         let spec = Arc::new(Spec { class: "class-0".into(), name: "n".into(), ..Spec::default() });
         let task = Task {
             class: REPEATABLE,
@@ -236,15 +240,15 @@
             limits: TaskLimits::default(),
         };
         let ask = Ask { job: RequestId(9), owner: Owner::Link(1), spec, task };
-        world.apply(Input::Adopt { ask, machine });
+        world.apply(Input::Adopt { ask, machine: at });
         if !listed {
-            world.happen(Happens::Add(machine.0));
+            world.happen(Happens::Add(at.0));
             world.run_until(world.now + 1.0);
         }
         world.run_until(world.now + 20.0);
-        assert!(world.planner.core.nodes.contains(machine), "it is kept while the task stands");
+        assert!(world.planner.core.nodes.contains(at), "it is kept while the task stands");
         let end = Input::Ended {
-            machine,
+            machine: at,
             job: RequestId(9),
             before: Outcome::Ok,
             after: Outcome::Ok,
@@ -253,7 +257,7 @@
         };
         world.apply(end);
         world.run_until(world.now + 20.0);
-        assert!(!world.planner.core.nodes.contains(machine), "and given back then");
+        assert!(!world.planner.core.nodes.contains(at), "and given back then");
     }
 }
 
