--- a/lab/src/capacity/reasons.rs
+++ b/lab/src/capacity/reasons.rs
@@ -23,6 +23,18 @@
         why: "it rises most between 2,000 and 5,000 routes and less beyond, as none of the four shapes does; why was not \
               looked into",
     },
+    Reason {
+        slope: "rest-machines-1024",
+        figure: "processor time at rest",
+        why: "a step: the cost begins where machines outnumber the 618 places for connections, so that the fit of the smaller \
+              sizes says nothing beyond them",
+    },
+    Reason {
+        slope: "restart-hollow-tasks",
+        figure: "processor time of a restart",
+        why: "a task takes some 5 us up to 30,000 and 3.6 us at 60,000, in two runs that differ by an eighth; why was not \
+              looked into",
+    },
     Reason {
         slope: "restart-machines",
         figure: "from start to ready",
