--- a/lab/src/capacity/page/reading.rs
+++ b/lab/src/capacity/page/reading.rs
@@ -173,7 +173,7 @@
         }
     }
 
-    fn breaks_fitted(&self, model: &Model, bound: f64, target: f64) -> Breaks {
+    pub(super) fn breaks_fitted(&self, model: &Model, bound: f64, target: f64) -> Breaks {
         let value = |size: f64| model.predict(size).value * self.reading.factor(size);
         let (smallest, most) = (self.figure.points[0].size, SEARCHED * target);
         if value(smallest) > bound {
