Keep the ladders' sizes in one place, and measure each straight from the table

No figure, bound or check changes. Run: fmt, clippy of the workspace with warnings denied, all tests of the laboratory and capacity_page pass; two slopes run in their short form.

--- a/lab/src/capacity/admission.rs
+++ b/lab/src/capacity/admission.rs
@@ -4,8 +4,6 @@
 use super::hollow_planner::{operators, settings};
 use super::ladder::{Ladder, Sample};
 use super::pick_machines::{placer, task};
-use super::record::Slope;
-use super::slopes::Options;
 use burlhook::decide::limits::{self, Context, Front, Limits, Subject, Table};
 use burlhook::document::{self, Item, Sink, Text};
 use burlhook::{vocabulary, Action, Event, RequestId, Room, Seconds, Settings, Tenant};
@@ -49,22 +47,6 @@
     run: quotas,
 };
 
-/// Measures admission against routes.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure_routes(options: &Options) -> io::Result<Vec<Slope>> {
-    ROUTES.measure(options)
-}
-
-/// Measures admission against quotas.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure_quotas(options: &Options) -> io::Result<Vec<Slope>> {
-    QUOTAS.measure(options)
-}
-
 /// The limits with so many routes in force.
 fn limits_of(routes: usize, settings: &Settings, classes: &[String]) -> io::Result<Limits> {
     let text = Text::new("operators.json5", operators::routes(routes));
--- a/lab/src/capacity/config_parse.rs
+++ b/lab/src/capacity/config_parse.rs
@@ -3,8 +3,6 @@
 use super::count::{cost_of, needs_counts};
 use super::hollow_planner::{failed, operators, HollowPlanner};
 use super::ladder::{Ladder, Sample};
-use super::record::Slope;
-use super::slopes::Options;
 use std::io;
 
 /// The slope.
@@ -21,14 +19,6 @@
     run,
 };
 
-/// Measures the slope.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
-    LADDER.measure(options)
-}
-
 fn run(routes: usize) -> io::Result<Vec<Sample>> {
     needs_counts()?;
     let text = operators::routes(routes);
--- a/lab/src/capacity/gang_machines.rs
+++ b/lab/src/capacity/gang_machines.rs
@@ -2,10 +2,8 @@
 
 use super::count::{cost_of, needs_counts};
 use super::hollow_planner::{operators, HollowPlanner};
-use super::ladder::{Ladder, Sample};
+use super::ladder::{Ladder, Sample, MACHINE_SIZES, MACHINE_SIZES_SHORT};
 use super::pick_machines::placer;
-use super::record::Slope;
-use super::slopes::Options;
 use burlhook::decide::groups::fit::{admit, Need};
 use burlhook::Room;
 use std::io;
@@ -27,19 +25,11 @@
            members stand",
     hollow: "no process, no sockets, no REST front; machines on simulated time answer at once; the operators' file \
              allows 128 members (32 where it says nothing, 256 at the most)",
-    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
-    short: &[20, 100, 400, 1_000],
+    sizes: MACHINE_SIZES,
+    short: MACHINE_SIZES_SHORT,
     run,
 };
 
-/// Measures the slope.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
-    LADDER.measure(options)
-}
-
 fn run(machines: usize) -> io::Result<Vec<Sample>> {
     needs_counts()?;
     let now = 1_000.0;
--- a/lab/src/capacity/ladder.rs
+++ b/lab/src/capacity/ladder.rs
@@ -4,6 +4,15 @@
 use super::slopes::Options;
 use std::io;
 
+/// Counts of machines, up to the fleet's in two years.
+pub const MACHINE_SIZES: &[usize] = &[20, 100, 400, 1_000, 4_000, 10_000, 18_000];
+/// The same for minutes.
+pub const MACHINE_SIZES_SHORT: &[usize] = &[20, 100, 400, 1_000];
+/// Counts of tasks that stand at one planner.
+pub const TASK_SIZES: &[usize] = &[100, 1_000, 5_000, 10_000, 30_000, 60_000];
+/// The same for minutes.
+pub const TASK_SIZES_SHORT: &[usize] = &[100, 1_000, 5_000];
+
 /// One value that a run gave.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sample {
--- a/lab/src/capacity/list_machines.rs
+++ b/lab/src/capacity/list_machines.rs
@@ -2,9 +2,7 @@
 
 use super::count::needs_counts;
 use super::hollow_planner::{change_line, whole_line, HollowPlanner};
-use super::ladder::{Ladder, Sample};
-use super::record::Slope;
-use super::slopes::Options;
+use super::ladder::{Ladder, Sample, MACHINE_SIZES, MACHINE_SIZES_SHORT};
 use std::io;
 
 /// Count. Changes of one machine that are measured.
@@ -21,19 +19,11 @@
     real: "the codec of the list, the vocabulary, the reducer and the placer",
     hollow: "no process and no sockets: the lines are handed in on simulated time; the program takes lines of up to \
              4 MiB",
-    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
-    short: &[20, 100, 400, 1_000],
+    sizes: MACHINE_SIZES,
+    short: MACHINE_SIZES_SHORT,
     run,
 };
 
-/// Measures the slope.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
-    LADDER.measure(options)
-}
-
 fn run(machines: usize) -> io::Result<Vec<Sample>> {
     needs_counts()?;
     let mut hollow = HollowPlanner::with_machines(machines)?;
--- a/lab/src/capacity/members.rs
+++ b/lab/src/capacity/members.rs
@@ -3,8 +3,6 @@
 mod network;
 
 use super::ladder::{Ladder, Sample};
-use super::record::Slope;
-use super::slopes::Options;
 use network::{Fleet, Load, Said};
 use std::io;
 
@@ -59,22 +57,6 @@
     run: busy,
 };
 
-/// Measures the slope at rest.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure_rest(options: &Options) -> io::Result<Vec<Slope>> {
-    REST.measure(options)
-}
-
-/// Measures the slope of busy planners.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure_busy(options: &Options) -> io::Result<Vec<Slope>> {
-    BUSY.measure(options)
-}
-
 fn rest(planners: usize) -> io::Result<Vec<Sample>> {
     members(planners, Load::None)
 }
--- a/lab/src/capacity/pick_machines.rs
+++ b/lab/src/capacity/pick_machines.rs
@@ -2,9 +2,7 @@
 
 use super::count::{cost_of, needs_counts, Cost};
 use super::hollow_planner::{set_up, settings, HollowPlanner, Request};
-use super::ladder::{Ladder, Sample};
-use super::record::Slope;
-use super::slopes::Options;
+use super::ladder::{Ladder, Sample, MACHINE_SIZES, MACHINE_SIZES_SHORT};
 use burlhook::{
     vocabulary, Action, CellId, Entry, Event, ListKind, MachineId, MachineKey, Placer, RequestId, Room,
     Seconds, ServiceId, Settings, Standing, Task, TaskLimits, ZoneId,
@@ -29,19 +27,11 @@
     real: "the placer for a pick; the reducer, the deciders and the codecs for an ask, from the request's bytes to the \
            release's",
     hollow: "no process and no sockets; machines on simulated time answer at once; a task ends before the next ask",
-    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
-    short: &[20, 100, 400, 1_000],
+    sizes: MACHINE_SIZES,
+    short: MACHINE_SIZES_SHORT,
     run,
 };
 
-/// Measures the slope.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
-    LADDER.measure(options)
-}
-
 fn run(machines: usize) -> io::Result<Vec<Sample>> {
     needs_counts()?;
     let (looked_at, pick) = picks(machines)?;
--- a/lab/src/capacity/rest_hollow.rs
+++ b/lab/src/capacity/rest_hollow.rs
@@ -1,9 +1,7 @@
 //! What the reducer does at rest, against machines: how often it is woken, and what it writes.
 
 use super::hollow_planner::HollowPlanner;
-use super::ladder::{Ladder, Sample};
-use super::record::Slope;
-use super::slopes::Options;
+use super::ladder::{Ladder, Sample, MACHINE_SIZES, MACHINE_SIZES_SHORT};
 use std::io;
 
 /// Seconds at rest that are counted.
@@ -18,19 +16,11 @@
     held: &[("asks a second", 0.0), ("standing tasks", 0.0), ("changes of the list", 0.0)],
     real: "the reducer and the placer with their alarms and tests of machines",
     hollow: "no process, no sockets: looks at the health of connections (wire::platform) are not in it; simulated time",
-    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
-    short: &[20, 100, 400, 1_000],
+    sizes: MACHINE_SIZES,
+    short: MACHINE_SIZES_SHORT,
     run,
 };
 
-/// Measures the slope.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure(options: &Options) -> io::Result<Vec<Slope>> {
-    LADDER.measure(options)
-}
-
 fn run(machines: usize) -> io::Result<Vec<Sample>> {
     let mut hollow = HollowPlanner::with_machines(machines)?;
     let (ticks, written) = (hollow.ticks, hollow.to_machines);
--- a/lab/src/capacity/state.rs
+++ b/lab/src/capacity/state.rs
@@ -2,9 +2,7 @@
 
 use super::count::needs_counts;
 use super::hollow_planner::{set_up, whole_line, HollowPlanner, Request};
-use super::ladder::{Ladder, Sample};
-use super::record::Slope;
-use super::slopes::Options;
+use super::ladder::{Ladder, Sample, MACHINE_SIZES, MACHINE_SIZES_SHORT, TASK_SIZES, TASK_SIZES_SHORT};
 use std::io;
 
 /// Count. Machines where standing tasks grow.
@@ -29,8 +27,8 @@
     held: &[("standing tasks", 0.0)],
     real: REAL,
     hollow: HOLLOW,
-    sizes: &[20, 100, 400, 1_000, 4_000, 10_000, 18_000],
-    short: &[20, 100, 400, 1_000],
+    sizes: MACHINE_SIZES,
+    short: MACHINE_SIZES_SHORT,
     run: by_machines,
 };
 
@@ -42,27 +40,11 @@
     held: &[("machines", MACHINES as f64), ("services", 1.0)],
     real: REAL,
     hollow: HOLLOW,
-    sizes: &[100, 1_000, 5_000, 10_000, 30_000, 60_000],
-    short: &[100, 1_000, 5_000],
+    sizes: TASK_SIZES,
+    short: TASK_SIZES_SHORT,
     run: by_tasks,
 };
 
-/// Measures the slope against machines.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure_machines(options: &Options) -> io::Result<Vec<Slope>> {
-    MACHINE.measure(options)
-}
-
-/// Measures the slope against standing tasks.
-///
-/// # Errors
-/// If a run fails.
-pub fn measure_tasks(options: &Options) -> io::Result<Vec<Slope>> {
-    TASK.measure(options)
-}
-
 fn by_machines(machines: usize) -> io::Result<Vec<Sample>> {
     needs_counts()?;
     let mut hollow = HollowPlanner::with_machines(machines)?;
