Serve a machine's connection while a dial beside it hangs

Cause: Link::talk awaited the dial beside a silent connection inside its own loop (boxes.rs, the arm of the timer), so that for the settings' whole time of a dial (250 ms there) neither a Disconnect nor a give-up nor a set-up was carried out on that connection. Change: the dial is one more arm of the select (boxes/dial.rs); a dial that outlives its connection is heard out.

--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -1,5 +1,8 @@
 //! One long-lived connection to each box, and the watch over boxes that fall silent.
 
+mod dial;
+
+use self::dial::{dial, DialBeside, Dialled, Dialling};
 use super::node::{self, take_line, Says, PROOF};
 use crate::decide::links::{Need, VISIT_S};
 use crate::decide::silence::looks::{Looks, LOOK_EVERY_S};
@@ -43,41 +46,6 @@
     }
 }
 
-/// How a dial ended, with its connection.
-enum Dialled {
-    Up(TcpStream),
-    /// Its host says that nobody listens there: the one error that proves anything.
-    Refused,
-    /// No connection came up, for whatever reason on the way.
-    Silent,
-    /// This planner has no descriptor, port or buffer left: no word of any machine.
-    Short,
-}
-
-impl Dialled {
-    /// What an error says of the machine.
-    fn failed(error: &io::Error) -> Dialled {
-        use io::ErrorKind::{AddrInUse, AddrNotAvailable, ConnectionRefused, OutOfMemory, PermissionDenied};
-        // EMFILE, ENFILE and ENOBUFS have no kind of their own.
-        const SHORT: [i32; 3] = [24, 23, 105];
-        match error.kind() {
-            ConnectionRefused => Dialled::Refused,
-            AddrInUse | AddrNotAvailable | OutOfMemory | PermissionDenied => Dialled::Short,
-            _ if error.raw_os_error().is_some_and(|code| SHORT.contains(&code)) => Dialled::Short,
-            _ => Dialled::Silent,
-        }
-    }
-
-    fn kind(&self) -> Dial {
-        match self {
-            Dialled::Up(_) => Dial::Up,
-            Dialled::Refused => Dial::Refused,
-            Dialled::Silent => Dial::Silent,
-            Dialled::Short => Dial::Short,
-        }
-    }
-}
-
 /// Waits for so long, or until something is to be written.
 async fn woken_within(wake: &Notify, span: Duration) {
     tokio::select! {
@@ -96,6 +64,15 @@
     GivenBack,
 }
 
+/// What a connection leaves to be heard when it ends.
+#[derive(Default)]
+struct Unheard {
+    /// What was read of it and is no whole line yet.
+    buffer: BytesMut,
+    /// The dial beside it that is under way.
+    beside: DialBeside,
+}
+
 /// What wakes the task of a connection.
 struct Wakes {
     /// Something waits to be written, or the connection is to end.
@@ -120,14 +97,6 @@
         link.map(|l| (l.address.clone(), Wakes { write: l.wake.clone(), look: l.look.clone() }))
     }
 
-    async fn dial(&self, address: &str) -> Dialled {
-        match timeout(self.dial, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => Dialled::Up(stream),
-            Ok(Err(error)) => Dialled::failed(&error),
-            Err(_) => Dialled::Silent,
-        }
-    }
-
     fn tell(&self, input: Input) {
         self.hub.apply(input);
     }
@@ -168,7 +137,7 @@
             }
             let dialled = match swapped.take() {
                 Some(stream) => Dialled::Up(stream),
-                None => self.dial(&address).await,
+                None => dial(address.clone(), self.dial).await,
             };
             let short = matches!(dialled, Dialled::Short);
             match dialled {
@@ -177,8 +146,13 @@
                     self.is_silent(false);
                     let _ = stream.set_nodelay(true);
                     self.tell(Input::LinkUp { machine });
-                    let mut buffer = BytesMut::new();
-                    let end = self.talk(&stream, &address, &wakes, &mut draws, &mut buffer, &mut signs).await;
+                    let mut unheard = Unheard::default();
+                    let end =
+                        self.talk(&stream, &address, &wakes, &mut draws, &mut unheard, &mut signs).await;
+                    let Unheard { buffer, mut beside } = unheard;
+                    if let Some(dialling) = beside.take() {
+                        tokio::spawn(self.clone().hear_out_dialled(dialling));
+                    }
                     let end = match end {
                         Ok(End::Swap(other)) => {
                             swapped = Some(other);
@@ -287,9 +261,10 @@
         address: &str,
         wakes: &Wakes,
         draws: &mut Draws,
-        buffer: &mut BytesMut,
+        unheard: &mut Unheard,
         signs: &mut Signs,
     ) -> io::Result<End> {
+        let Unheard { buffer, beside } = unheard;
         let mut watch = Watch::new(self.hub.now());
         let (mut left, mut half_line_since) = (Vec::new(), None::<Seconds>);
         let mut looks = Looks::new(self.hub.now() + LOOK_EVERY_S * draws.draw());
@@ -345,40 +320,26 @@
                     if open.is_test_late(now) {
                         self.fail_probe(Outcome::TimedOut);
                     }
-                    let mut step = watch.look(now, open.holds_tasks, draws.draw());
-                    let mut other = None;
-                    if step == Step::Dial {
-                        let dialled = self.dial(address).await;
-                        let dial = dialled.kind();
-                        if let Dialled::Up(up) = dialled {
-                            other = Some(up);
-                        }
-                        if dial != Dial::Short {
-                            self.is_silent(dial == Dial::Silent);
-                        }
-                        step = watch.dialled(self.hub.now(), dial, self.hub.lock().is_open_at(self.machine));
-                    }
-                    match step {
-                        Step::Wait | Step::Dial => {}
-                        Step::Swap => return Ok(other.map_or(End::Closed, End::Swap)),
-                        Step::HearOut => {
-                            if let Some(other) = other {
-                                tokio::spawn(self.clone().hear_out(other, BytesMut::new()));
-                            }
-                        }
-                        Step::Nudge => self.hub.lock().nudge_node(self.machine),
-                        Step::Lost => self.tell(Input::MachineLost { machine: self.machine, proved: false }),
-                        Step::Close => {
-                            *signs = watch.signs();
-                            // What is out there is given up with the connection; what stands may be waited for.
-                            let (dials, quiet_s) = (signs.silent_dials, self.hub.now() - signs.sign);
-                            if dials > 0 && is_lost(dials, quiet_s, self.is_silent(true)) {
-                                self.tell(Input::MachineLost { machine: self.machine, proved: false });
+                    match watch.look(now, open.holds_tasks, draws.draw()) {
+                        Step::Dial => beside.begin(address, self.dial),
+                        step => {
+                            if let Some(end) = self.take_step(step, None, &watch, signs)? {
+                                return Ok(end);
                             }
-                            return Err(io::Error::new(io::ErrorKind::TimedOut, "it brings nothing any more"));
                         }
                     }
                 }
+                dialled = beside.ended() => {
+                    let dial = dialled.kind();
+                    if dial != Dial::Short {
+                        self.is_silent(dial == Dial::Silent);
+                    }
+                    let is_open = self.hub.lock().is_open_at(self.machine);
+                    let step = watch.dialled(self.hub.now(), dial, is_open);
+                    if let Some(end) = self.take_step(step, dialled.up(), &watch, signs)? {
+                        return Ok(end);
+                    }
+                }
                 ready = stream.ready(interest) => {
                     if ready?.is_readable() {
                         if buffer.is_empty() {
@@ -401,6 +362,44 @@
         }
     }
 
+    /// Does what is due about a silent connection, with the one that came up beside it; tells how this one ends, should it.
+    fn take_step(
+        &self,
+        step: Step,
+        other: Option<TcpStream>,
+        watch: &Watch,
+        signs: &mut Signs,
+    ) -> io::Result<Option<End>> {
+        match step {
+            Step::Wait | Step::Dial => {}
+            Step::Swap => return Ok(Some(other.map_or(End::Closed, End::Swap))),
+            Step::HearOut => {
+                if let Some(other) = other {
+                    tokio::spawn(self.clone().hear_out(other, BytesMut::new()));
+                }
+            }
+            Step::Nudge => self.hub.lock().nudge_node(self.machine),
+            Step::Lost => self.tell(Input::MachineLost { machine: self.machine, proved: false }),
+            Step::Close => {
+                *signs = watch.signs();
+                // What is out there is given up with the connection; what stands may be waited for.
+                let (dials, quiet_s) = (signs.silent_dials, self.hub.now() - signs.sign);
+                if dials > 0 && is_lost(dials, quiet_s, self.is_silent(true)) {
+                    self.tell(Input::MachineLost { machine: self.machine, proved: false });
+                }
+                return Err(io::Error::new(io::ErrorKind::TimedOut, "it brings nothing any more"));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Hears out the connection of a dial whose purpose is gone, should it come up: what a box owes comes on it.
+    async fn hear_out_dialled(self, dialling: Dialling) {
+        if let Dialled::Up(stream) = dialling.await {
+            self.hear_out(stream, BytesMut::new()).await;
+        }
+    }
+
     /// Whether a set-up waits to leave.
     fn has_set_up(&self) -> bool {
         let inner = self.hub.lock();
