--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -572,3 +572,14 @@
         assert_eq!(taken_back(&bench.at(104.5), 1).is_none(), waits, "up since {started}");
     }
 }
+
+/// Guards what must not be repeated: a machine that only counts as lost may still hold what left for it, whose connection is
+/// up; its time-out ends it, or its connection.
+#[test]
+fn a_machine_that_counts_as_lost_ends_no_attempt_that_is_out_there() {
+    let mut bench = Bench::new("repeatable");
+    let at = launched(&bench.submit(1, None)).expect("a launch");
+    bench.sent(1, 0);
+    assert_eq!(launched(&bench.tell(Input::MachineLost { machine: at, proved: false })), None);
+    assert!(launched(&bench.tell(Input::MachineLost { machine: at, proved: true })).is_some());
+}
--- a/tests/give_ups.rs
+++ b/tests/give_ups.rs
@@ -126,3 +126,68 @@
     assert_eq!(answered(&mut case.client), Some((ANSWER, 3, None)));
     drop(case.planner);
 }
+
+/// A planner that follows a machine list, with one machine that has heard request 2 and says nothing to it.
+struct OneOut {
+    planner: Planner,
+    client: Wire,
+    machine: Wire,
+    address: String,
+    list: Wire,
+    _listeners: (TcpListener, TcpListener),
+}
+
+impl OneOut {
+    fn start() -> OneOut {
+        let (machine_listener, address) = listener();
+        let (list_listener, list_address) = listener();
+        let planner = Planner::start(std::slice::from_ref(&address), Some(&list_address), None);
+        let mut machine = accept(&machine_listener);
+        let mut list = accept(&list_listener);
+        list.line().expect("watch N");
+        let mut client = Wire::connect(&planner.owners);
+        client.send(&set_up(2, "stateless", WAIT_MS, "x"));
+        assert_eq!(told(&machine.line().expect("a set-up")), ("launch".into(), 2));
+        let _listeners = (machine_listener, list_listener);
+        OneOut { planner, client, machine, address, list, _listeners }
+    }
+
+    /// The first machine ends its connection only after another request went to a second one; tells which requests came
+    /// there, in order.
+    fn arrivals_at_a_second_machine(mut self, other: &TcpListener) -> [u64; 2] {
+        while self.machine.line().is_some() {}
+        self.client.send(&set_up(3, "stateless", WAIT_MS, "x"));
+        let mut second = accept(other);
+        let (_, first_task) = told(&second.line().expect("a set-up"));
+        drop(self.machine);
+        let (_, second_task) = told(&second.line().expect("a set-up"));
+        second.send(&[running(2), running(3)].concat());
+        let answers = [answered(&mut self.client), answered(&mut self.client)];
+        assert!(answers.iter().all(|answer| answer.is_some_and(|(kind, ..)| kind == ANSWER)), "{answers:?}");
+        drop((self.planner, self.list));
+        [first_task, second_task]
+    }
+}
+
+/// Guards what must not be repeated: an attempt at a machine that leaves the list is out until that machine has ended its
+/// connection, which shows that it gave the attempt up.
+#[test]
+fn an_attempt_at_a_machine_that_leaves_is_out_until_it_ended_its_connection() {
+    let mut case = OneOut::start();
+    let (other, other_address) = listener();
+    let change = [instance("b1", &case.address, "terminated"), instance("b2", &other_address, "in_service")];
+    case.list.send(&event(2, &change));
+    assert_eq!(case.arrivals_at_a_second_machine(&other), [3, 2]);
+}
+
+/// Guards what must not be repeated: an attempt on a connection that the planner ends, as half a line came and no more, is
+/// out until its machine has ended it, too.
+#[test]
+fn an_attempt_on_a_connection_that_the_planner_ends_is_out_until_its_machine_ended_it() {
+    let mut case = OneOut::start();
+    let (other, other_address) = listener();
+    let change = [instance("b1", &case.address, "terminating"), instance("b2", &other_address, "in_service")];
+    case.list.send(&event(2, &change));
+    case.machine.send(br#"{"kind":"running","uid":"0000"#);
+    assert_eq!(case.arrivals_at_a_second_machine(&other), [3, 2]);
+}
