Keep an attempt out until its machine is known to have given it up

Cause: three places took something else for the end of an attempt: the list's word that its machine is gone (state/machines.rs, machine_lost in list()), the planner's own end of a connection (boxes.rs: LinkBroken after a reset that a cut-off machine never gets, and after ETIMEDOUT, EHOSTUNREACH and the like), and a machine that only counts as lost while its connection is up. Change: a machine that leaves has its attempts given up and its connection half closed; they are over once it has ended the connection, too (Input::Departed), or are answered within 1 s without another attempt (unheard). LinkBroken says whether the machine's end is proved. One rule test in tests/sockets.rs is replaced: its machine never ended its connection; it now does, later, and nothing may go elsewhere before.

--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -422,7 +422,12 @@
                 out.push(to_machine(machine, node::check(self.probes)));
             }
             Effect::Connect { machine, address } => out.push(Output::Connect { machine, address }),
-            Effect::Disconnect { machine } => out.push(Output::Disconnect { machine }),
+            Effect::Disconnect { machine, departure } => {
+                out.push(Output::Disconnect { machine });
+                let mut follows = Vec::new();
+                self.core.apply(now, Input::Departed { departure, proved: true }, &mut follows);
+                follows.into_iter().for_each(|effect| self.carry_out(now, effect, out));
+            }
             Effect::Placed { owner, job, body } => {
                 let answer = owner::answer(job.0, &body);
                 let bytes = answer.unwrap_or_else(|| owner::release(job.0, cause::ERROR, None));
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -80,7 +80,17 @@
         self.asks += u64::from(again);
         let fence = again.then_some(self.asks);
         let (left, asked, out_of_sight) = (false, None, false);
-        job.trial = Some(Trial { attempt, machine, spot, at: now, left, fence, asked, out_of_sight });
+        job.trial = Some(Trial {
+            attempt,
+            machine,
+            spot,
+            at: now,
+            left,
+            fence,
+            asked,
+            out_of_sight,
+            departure: None,
+        });
         let spec = job.spec.clone();
         if let Some(node) = self.nodes.get_mut(machine) {
             node.trying.insert(id);
@@ -198,23 +208,46 @@
         let Some(trial) = job.trial.as_mut().filter(|t| t.attempt == attempt && t.asked.is_none()) else {
             return;
         };
-        let (machine, left) = (trial.machine, trial.left);
-        // What never left the queue never ran, and must not leave it later.
+        let machine = trial.machine;
+        if !trial.left {
+            // What never left the queue never ran, and must not leave it later.
+            effects.push(Effect::GiveUp { machine, job: id });
+            return self.trial_over(now, id, Outcome::ConnectFailed, Reason::Unknown, None, effects);
+        }
+        let Some(ask) = self.give_up_left(now, id, effects) else { return };
+        // Where no test may be sent, nothing can prove it.
+        if !self.settings.probes {
+            return self.unheard(now, id, attempt, effects);
+        }
+        effects.push(Effect::Ask { machine, ask });
+    }
+
+    /// Gives an attempt up that left: it is out until its machine is known to have given it up, or counts as unheard. Gives
+    /// the number of the test whose answer would prove it, where none is asked for yet and there is time for it.
+    pub(super) fn give_up_left(
+        &mut self,
+        now: Seconds,
+        id: RequestId,
+        effects: &mut Vec<Effect>,
+    ) -> Option<u64> {
+        let job = self.jobs.get_mut(&id)?;
+        let trial = job.trial.as_mut().filter(|t| t.asked.is_none())?;
+        let (machine, attempt) = (trial.machine, trial.attempt);
         effects.push(Effect::GiveUp { machine, job: id });
         // A group has its own proof.
-        if !left || matches!(job.owner, Owner::Group { .. }) {
-            let outcome = if left { Outcome::TimedOut } else { Outcome::ConnectFailed };
-            return self.trial_over(now, id, outcome, Reason::Unknown, None, effects);
+        if matches!(job.owner, Owner::Group { .. }) {
+            self.trial_over(now, id, Outcome::TimedOut, Reason::Unknown, None, effects);
+            return None;
         }
         self.asks += 1;
         trial.asked = Some(self.asks);
         let until = (now + PROOF_S).min(job.task.deadline - PROOF_SPARE_S);
-        // Where no test may be sent, nothing can prove it.
-        if until <= now || !self.settings.probes {
-            return self.unheard(now, id, attempt, effects);
+        if until <= now {
+            self.unheard(now, id, attempt, effects);
+            return None;
         }
-        effects.push(Effect::Ask { machine, ask: self.asks });
         self.alarm(until, Alarm::Unproved(id, attempt));
+        Some(self.asks)
     }
 
     /// Where an attempt is booked that has not left, and so never ran.
@@ -226,10 +259,12 @@
     /// Takes a job's attempt out of the books.
     fn take_trial(&mut self, id: RequestId) -> Option<Trial> {
         let trial = self.jobs.get_mut(&id)?.trial.take()?;
-        if let Some(node) = self.nodes.get_mut(trial.machine) {
-            let booked = node.trying.remove(&id);
-            debug_assert!(booked, "an attempt is booked where it is");
-        }
+        let booked = match (trial.departure, self.nodes.get_mut(trial.machine)) {
+            (Some(departure), _) => self.departures.remove(departure, id),
+            (None, Some(node)) => node.trying.remove(&id),
+            (None, None) => true,
+        };
+        debug_assert!(booked || trial.departure.is_some(), "an attempt is booked where it is");
         Some(trial)
     }
 
@@ -276,6 +311,41 @@
         }
     }
 
+    /// The connection of a machine that left the list has ended, with an attempt that was out there.
+    pub(super) fn departure_ended(
+        &mut self,
+        now: Seconds,
+        id: RequestId,
+        proved: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(trial) = self.jobs.get(&id).and_then(|j| j.trial) else { return };
+        if proved {
+            self.trial_over(now, id, Outcome::Lost, Reason::Unknown, None, effects);
+        } else {
+            self.unheard(now, id, trial.attempt, effects);
+        }
+    }
+
+    /// A connection ended. Where its machine is not known to have ended it, too, what is out on it may be out for good.
+    pub(super) fn link_broken(
+        &mut self,
+        now: Seconds,
+        machine: MachineId,
+        proved: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        if !proved {
+            for id in self.tried(machine, |t| t.left) {
+                let job = self.jobs.get_mut(&id).filter(|j| !matches!(j.owner, Owner::Group { .. }));
+                if let Some(job) = job {
+                    job.unheard = true;
+                }
+            }
+        }
+        self.break_trials(now, machine, true, Reason::Broken, effects);
+    }
+
     pub(super) fn give_up_trial(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> Option<Trial> {
         let trial = self.take_trial(id)?;
         let job = self.jobs.get_mut(&id)?;
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -160,7 +160,7 @@
         let gone: Vec<RequestId> =
             machine.copies.iter().filter(|(_, runs)| dies || !**runs).map(|(&job, _)| job).collect();
         gone.into_iter().for_each(|job| self.over(at, job));
-        self.tell(Input::LinkBroken { machine: MachineId(at) });
+        self.tell(Input::LinkBroken { machine: MachineId(at), proved: true });
         if dies {
             self.machines[at as usize].kept.clear();
             self.tell(Input::MachineLost { machine: MachineId(at), proved: true });
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -67,6 +67,8 @@
     pub asked: Option<u64>,
     /// It is over without a word of its machine: a copy may run, and an answer may still come.
     pub out_of_sight: bool,
+    /// Its machine left the list, and its connection is not known to have ended.
+    pub departure: Option<DepartureId>,
 }
 
 impl Trial {
--- a/src/state/limits/tests.rs
+++ b/src/state/limits/tests.rs
@@ -225,7 +225,7 @@
                     .map(|(id, _)| *id)
                     .collect();
                 hit.into_iter().for_each(|job| self.ended(job, true));
-                self.tell(Input::LinkBroken { machine });
+                self.tell(Input::LinkBroken { machine, proved: true });
             }
             _ => self.tell(Input::Cancel { job: RequestId(1 + argument as u64 % self.next), cause: 16 }),
         }
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -53,12 +53,7 @@
             self.take_back_queued(now, machine, effects);
         }
         for machine in gone {
-            self.machine_lost(now, machine, effects);
-            self.prove_all_gone(machine);
-            self.machine_changed(machine, ChangeKind::Deleted, effects);
-            if self.nodes.remove(machine).is_some() {
-                effects.push(Effect::Disconnect { machine });
-            }
+            self.depart(now, machine, effects);
         }
         self.forget_names();
         for machine in self.nodes.not_ready() {
@@ -165,14 +160,68 @@
         if since.is_some_and(|since| now < since + DRAIN_KEEPS_S) && quiet_s < LOST_S {
             return self.break_trials(now, machine, false, Reason::Unknown, effects);
         }
-        self.machine_lost(now, machine, effects);
-        self.prove_all_gone(machine);
+        self.machine_lost(now, machine, true, effects);
+    }
+
+    /// A machine counts as lost with what stood there. What left for it is over only where that is proved: it may be out on
+    /// a connection that is up.
+    pub(super) fn machine_lost(
+        &mut self,
+        now: Seconds,
+        machine: MachineId,
+        proved: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.lose(now, machine, f64::INFINITY, effects);
+        self.break_trials(now, machine, false, Reason::Unknown, effects);
+        if proved {
+            self.break_trials(now, machine, true, Reason::Unknown, effects);
+            self.prove_all_gone(machine);
+        }
     }
 
-    pub(super) fn machine_lost(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
+    /// A machine leaves the list: what stood there counts as lost, what is queued for it never ran, and what left for it is
+    /// given up, and out until its connection has ended.
+    fn depart(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
         self.lose(now, machine, f64::INFINITY, effects);
         self.break_trials(now, machine, false, Reason::Unknown, effects);
-        self.break_trials(now, machine, true, Reason::Unknown, effects);
+        let jobs = self.tried(machine, |t| t.left);
+        self.machine_changed(machine, ChangeKind::Deleted, effects);
+        let departure = self.departures.begin(machine, jobs.iter().copied().collect());
+        for &job in &jobs {
+            if let Some(trial) = self.jobs.get_mut(&job).and_then(|j| j.trial.as_mut()) {
+                trial.departure = Some(departure);
+            }
+            if let Some(node) = self.nodes.get_mut(machine) {
+                node.trying.remove(&job);
+            }
+        }
+        for job in jobs {
+            self.give_up_left(now, job, effects);
+        }
+        if self.nodes.remove(machine).is_some() {
+            effects.push(Effect::Disconnect { machine, departure });
+        } else {
+            self.departures.end(departure);
+        }
+    }
+
+    /// The connection to a machine that left the list has ended, and its attempts with it.
+    pub(super) fn departed(
+        &mut self,
+        now: Seconds,
+        departure: DepartureId,
+        proved: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(Departed { machine, jobs }) = self.departures.end(departure) else { return };
+        for job in jobs {
+            self.departure_ended(now, job, proved, effects);
+        }
+        // Should it be back already, what is booked there is of its new process, too.
+        if !self.nodes.contains(machine) {
+            self.prove_all_gone(machine);
+        }
     }
 }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 
 mod alarms;
 mod attempts;
+mod departures;
 mod fleet;
 mod ghosts;
 mod groups;
@@ -18,6 +19,8 @@
 mod words;
 
 use alarms::Alarm;
+pub use departures::DepartureId;
+use departures::{Departed, Departures};
 pub use fleet::FleetView;
 use ghosts::Ghosts;
 use groups::Groups;
@@ -70,6 +73,7 @@
     limits: InForce,
     groups: Groups,
     ghosts: Ghosts,
+    departures: Departures,
 }
 
 impl Core {
@@ -100,6 +104,7 @@
             limits,
             groups: Groups::default(),
             ghosts: Ghosts::default(),
+            departures: Departures::default(),
         })
     }
 
@@ -251,13 +256,9 @@
             }
             Input::DialFailed { machine } => self.break_trials(now, machine, false, Reason::Unknown, effects),
             Input::DialRefused { machine, quiet_s } => self.dial_refused(now, machine, quiet_s, effects),
-            Input::LinkBroken { machine } => self.break_trials(now, machine, true, Reason::Broken, effects),
-            Input::MachineLost { machine, proved } => {
-                self.machine_lost(now, machine, effects);
-                if proved {
-                    self.prove_all_gone(machine);
-                }
-            }
+            Input::LinkBroken { machine, proved } => self.link_broken(now, machine, proved, effects),
+            Input::Departed { departure, proved } => self.departed(now, departure, proved, effects),
+            Input::MachineLost { machine, proved } => self.machine_lost(now, machine, proved, effects),
             Input::Limits { table, digest } => self.take_limits(now, table, digest),
             Input::GroupSettings(settings) => self.groups.settings = settings,
             Input::LimitsRefused { why } => self.limits.refuse(now, why),
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -267,7 +267,7 @@
     bench.bound(MachineId(0), 1);
     let replaced = bench.list(&[(10, Standing::Ready)]);
     let lost = Effect::Released { owner: Owner::Link(1), job: RequestId(1), outcome: Outcome::Lost };
-    assert!(replaced.contains(&Effect::Disconnect { machine: MachineId(0) }) && replaced.contains(&lost));
+    assert!(departure(&replaced).is_some() && replaced.contains(&lost));
     assert_eq!(launched(&bench.submit(2, None)), Some(MachineId(10)));
 }
 
@@ -379,7 +379,7 @@
         let at = launched(&bench.submit(1, None)).expect("a launch");
         bench.sent(1, 0);
         let mut effects = match broke {
-            true => bench.tell(Input::LinkBroken { machine: at }),
+            true => bench.tell(Input::LinkBroken { machine: at, proved: true }),
             false => bench.end(at, 1, Outcome::Full),
         };
         for tenth in 1..=60 {
@@ -390,7 +390,10 @@
     let mut bench = Bench::new("repeatable");
     let at = launched(&bench.submit(1, None)).expect("a launch");
     bench.sent(1, 0);
-    assert_eq!(launched(&bench.tell(Input::LinkBroken { machine: at })), Some(MachineId(1 - at.0)));
+    assert_eq!(
+        launched(&bench.tell(Input::LinkBroken { machine: at, proved: true })),
+        Some(MachineId(1 - at.0))
+    );
 }
 
 /// Guards the same against an id that comes again after its job is over: while a copy of the first may run, the second is
@@ -474,7 +477,10 @@
     let first = launched(&bench.submit(1, None)).expect("a launch");
     bench.sent(1, 0);
     let gone = bench.list(&[(first.0, Standing::Gone)]);
-    let second = launched(&gone).expect("it goes elsewhere");
+    assert_eq!(launched(&gone), None, "it is out there still");
+    let departure = departure(&gone).expect("its connection is to end");
+    let ended = bench.tell(Input::Departed { departure, proved: true });
+    let second = launched(&ended).expect("it goes elsewhere");
     assert_ne!(second, first);
     bench.sent(1, 1);
     bench.list(&[(first.0, Standing::Ready)]);
@@ -530,7 +536,8 @@
     let first = launched(&bench.submit(1, Some("k"))).expect("a launch");
     bench.sent(1, 0);
     bench.now = 101.0;
-    let again = launched(&bench.tell(Input::LinkBroken { machine: first })).expect("a further attempt");
+    let again =
+        launched(&bench.tell(Input::LinkBroken { machine: first, proved: true })).expect("a further attempt");
     assert_eq!(bench.core.next_alarm(), Some(102.0), "whoever writes looks at the time, and finds this due");
     assert_eq!(taken_back(&bench.at(101.99), 1), None);
     let ended = bench.at(102.0);
@@ -542,7 +549,8 @@
     let first = launched(&bench.submit(1, Some("k"))).expect("a launch");
     bench.sent(1, 0);
     bench.now = 101.0;
-    let again = launched(&bench.tell(Input::LinkBroken { machine: first })).expect("a further attempt");
+    let again =
+        launched(&bench.tell(Input::LinkBroken { machine: first, proved: true })).expect("a further attempt");
     bench.sent(1, 1);
     assert_eq!(taken_back(&bench.at(102.0), 1), None);
     assert_eq!(answers(&bench.bound(again, 1)), 1);
@@ -583,3 +591,49 @@
     assert_eq!(launched(&bench.tell(Input::MachineLost { machine: at, proved: false })), None);
     assert!(launched(&bench.tell(Input::MachineLost { machine: at, proved: true })).is_some());
 }
+
+fn departure(effects: &[Effect]) -> Option<DepartureId> {
+    let of = |e: &Effect| match e {
+        Effect::Disconnect { departure, .. } => Some(*departure),
+        _ => None,
+    };
+    effects.iter().find_map(of)
+}
+
+/// Guards what must not be repeated: an attempt at a machine that left the list, or on a connection that ended, goes elsewhere
+/// once its machine is known to have given it up, and is answered without another attempt where that is never known.
+#[test]
+fn what_nobody_proved_given_up_is_answered_and_not_sent_again() {
+    for leaves in [true, false] {
+        for proved in [true, false] {
+            let mut bench = Bench::new("repeatable");
+            let at = launched(&bench.submit(1, None)).expect("a launch");
+            bench.sent(1, 0);
+            let ended = if leaves {
+                let gone = bench.list(&[(at.0, Standing::Gone)]);
+                assert_eq!((launched(&gone), taken_back(&gone, 1)), (None, Some(at)));
+                assert_eq!(answers(&bench.bound(at, 1)), 0, "it is given up");
+                bench.tell(Input::Departed { departure: departure(&gone).expect("one"), proved })
+            } else {
+                bench.tell(Input::LinkBroken { machine: at, proved })
+            };
+            assert_eq!((launched(&ended).is_some(), answers(&ended)), (proved, usize::from(!proved)));
+        }
+    }
+}
+
+/// Guards clients whose request is out at a machine that left and never ends its connection: they have their answer within
+/// the time for a proof, and before their deadline.
+#[test]
+fn what_is_out_at_a_machine_that_left_is_answered_in_time() {
+    for (left_at, answered_by) in [(100.0, 101.0), (104.5, 105.0)] {
+        let mut bench = Bench::new("repeatable");
+        let at = launched(&bench.submit(1, None)).expect("a launch");
+        bench.sent(1, 0);
+        bench.now = left_at;
+        // Its own time-out may have come before.
+        let gone = bench.list(&[(at.0, Standing::Gone)]);
+        let ended = bench.at(answered_by);
+        assert_eq!((answers(&gone) + answers(&ended), launched(&ended)), (1, None), "left at {left_at}");
+    }
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -1,5 +1,6 @@
 //! The words between the core and the world: what happens, what is to be done, and how jobs stand.
 
+use super::DepartureId;
 use crate::decide::budgets::{Plan, Word};
 use crate::decide::fleet::{Life, Member};
 use crate::decide::groups::settings::GroupSettings;
@@ -144,8 +145,11 @@
     /// The machine refuses connections: its process is gone, or it drains and takes no new ones.
     /// It told of no task, and took no connection, for so long.
     DialRefused { machine: MachineId, quiet_s: Seconds },
-    /// A connection to the machine broke: what was sent on it may have run.
-    LinkBroken { machine: MachineId },
+    /// A connection to the machine ended: what was sent on it may have run. It runs no more where `proved`: the machine
+    /// ended the connection, too, and gave up what was open on it.
+    LinkBroken { machine: MachineId, proved: bool },
+    /// The connection to a machine that left the list has ended; `proved` as above.
+    Departed { departure: DepartureId, proved: bool },
     /// The machine or its process is gone with all it held; it may only be out of reach where nothing proves it.
     MachineLost { machine: MachineId, proved: bool },
     /// The operators' limits, checked and compiled, are to be in force for the jobs that come from now on.
@@ -186,8 +190,9 @@
     Connect { machine: MachineId, address: String },
     /// Tasks stand at a machine where none stood: its silence is watched from now on.
     Watch { machine: MachineId },
-    /// The machine is gone; nothing more goes to it.
-    Disconnect { machine: MachineId },
+    /// The machine left the list: what waits for it is written, then its connection is ended, and [`Input::Departed`] tells
+    /// of that.
+    Disconnect { machine: MachineId, departure: DepartureId },
     /// Final answer: the task stands.
     Placed { owner: Owner, job: RequestId, body: String },
     /// Final answer: refused; trying again is harmless.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -9,7 +9,7 @@
 pub use client_connections::{is_unread, OwnerLink};
 pub use clock::seconds;
 pub use datagrams::DatagramCounts;
-pub use machine_connections::NodeLink;
+pub use machine_connections::{Leaving, NodeLink};
 
 use super::outbox::{Sink, Tag};
 use super::platform::node::{self, cause};
@@ -54,6 +54,8 @@
     /// The places for connections to boxes.
     pub places: Places,
     connects: mpsc::UnboundedSender<(MachineId, u64)>,
+    /// Connections of machines that left the list and whose tasks have not taken note of it, by their lives.
+    leaving: BTreeMap<u64, Leaving>,
     next_link: u64,
     /// Machines that no dial reaches now.
     pub silent: BTreeSet<MachineId>,
@@ -94,6 +96,7 @@
             bounds,
             places: Places::new(bounds.links),
             connects,
+            leaving: BTreeMap::new(),
             next_link: 0,
             silent: BTreeSet::new(),
             draining: false,
@@ -229,13 +232,7 @@
             }
             Effect::Connect { machine, address } => self.connect(machine, address),
             Effect::Watch { machine } => self.look_anew(machine),
-            Effect::Disconnect { machine } => {
-                self.silent.remove(&machine);
-                self.yield_place(now, machine);
-                if let Some(link) = self.nodes.remove(&machine) {
-                    link.wake.notify_one();
-                }
-            }
+            Effect::Disconnect { machine, departure } => self.disconnect(now, machine, departure),
             Effect::Placed { owner, job, body } => {
                 // An answer that fits into no message must not leave its owner without one.
                 let answer = owner::answer(job.0, &body);
--- a/src/wire/hub/machine_connections.rs
+++ b/src/wire/hub/machine_connections.rs
@@ -4,8 +4,8 @@
 use crate::decide::links::Need;
 use crate::decide::silence::looks::Open;
 use crate::placer::{MachineId, Seconds};
-use crate::state::Core;
-use crate::wire::outbox::{Outbox, Tag};
+use crate::state::{Core, DepartureId};
+use crate::wire::outbox::{Outbox, Sink, Tag};
 use crate::wire::platform::node;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -25,6 +25,13 @@
     pub(super) probes: u64,
 }
 
+/// The connection of a machine that left the list.
+pub struct Leaving {
+    pub departure: DepartureId,
+    /// What was to be written to it still.
+    pub outbox: Outbox,
+}
+
 /// Whether nothing is open on the connection to a box, not even a probe.
 fn is_idle(nodes: &BTreeMap<MachineId, NodeLink>, core: &Core, machine: MachineId) -> bool {
     let free = nodes.get(&machine).is_some_and(|l| l.outbox.is_empty() && l.probe.is_none());
@@ -53,6 +60,29 @@
         let _ = self.connects.send((machine, life));
     }
 
+    /// Has the task of a machine that left the list end its connection.
+    pub(super) fn disconnect(&mut self, now: Seconds, machine: MachineId, departure: DepartureId) {
+        self.silent.remove(&machine);
+        self.yield_place(now, machine);
+        let Some(link) = self.nodes.remove(&machine) else { return };
+        self.leaving.insert(link.life, Leaving { departure, outbox: link.outbox });
+        link.wake.notify_one();
+    }
+
+    /// Writes what a machine that left the list is to hear still; false where the machine of that life has not left.
+    pub fn write_last(&mut self, life: u64, sink: &impl Sink) -> bool {
+        let Some(leaving) = self.leaving.get_mut(&life) else { return false };
+        if let Err(error) = leaving.outbox.write_last(sink) {
+            tracing::debug!(%error, "a machine that left does not hear its last words");
+        }
+        true
+    }
+
+    /// What is to be done about the connection of that life, where its machine left the list; told once.
+    pub fn take_leaving(&mut self, life: u64) -> Option<Leaving> {
+        self.leaving.remove(&life)
+    }
+
     /// Takes a place for the connection to a box, or has it wait for one; the box's task is woken once it has it.
     pub fn want_place(&mut self, now: Seconds, machine: MachineId, need: Need) -> bool {
         let was_short = self.places.is_short();
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -62,7 +62,7 @@
         // What is written whole brings no error until more is written.
         assert_eq!(broke.is_err(), taken < 1 << 20);
         hub.lock().nodes.get_mut(&name).expect("a link").outbox.reset();
-        hub.apply(Input::LinkBroken { machine: name });
+        hub.apply(Input::LinkBroken { machine: name, proved: true });
         let waits = !hub.lock().nodes[&name].outbox.is_empty();
         let answered = !hub.lock().owners[&owner].outbox.is_empty();
         assert_eq!((waits, answered), (taken == 0, taken > 0), "{taken} bytes left");
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -98,6 +98,16 @@
         }
     }
 
+    /// Writes what it can of what waits, before the connection is ended; what a set-up has begun is left half.
+    pub fn write_last(&mut self, stream: &impl Sink) -> io::Result<()> {
+        let half_set_up =
+            self.written > 0 && self.parcels.front().is_some_and(|p| matches!(p.tag, Tag::Launch(..)));
+        if half_set_up {
+            return Ok(());
+        }
+        self.write(stream, &mut Vec::new())
+    }
+
     /// After the connection ended for good: what is due elsewhere, also where only a part of it was written.
     pub fn take_due(&mut self) -> Vec<Vec<u8>> {
         (self.written, self.bytes) = (0, 0);
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -1,8 +1,10 @@
 //! One long-lived connection to each box, and the watch over boxes that fall silent.
 
 mod dial;
+mod end;
 
 use self::dial::{dial, DialBeside, Dialled, Dialling};
+use self::end::End;
 use super::node::{self, take_line, Says, PROOF};
 use crate::decide::links::{Need, VISIT_S};
 use crate::decide::silence::looks::{Looks, LOOK_EVERY_S};
@@ -54,16 +56,6 @@
     }
 }
 
-/// How a connection ended without an error.
-enum End {
-    /// Its box closed it, or it left the list.
-    Closed,
-    /// Another that came up takes its place.
-    Swap(TcpStream),
-    /// Its descriptor is wanted for another box.
-    GivenBack,
-}
-
 /// What a connection leaves to be heard when it ends.
 #[derive(Default)]
 struct Unheard {
@@ -166,25 +158,28 @@
                             self.hub.lock().yield_place(self.hub.now(), machine);
                             continue;
                         }
-                        Ok(End::Closed) => Ok(()),
-                        Err(error) => Err(error),
+                        other => other,
                     };
                     reset = matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
-                    // Closing it gives up what is open on it, and only then may that go elsewhere.
+                    // Its end gives up what is open on it, and only then may that go elsewhere.
+                    let proved = self.bring_to_end(&stream, buffer, &end).await;
                     if let Err(error) = &end {
-                        tracing::debug!(machine = machine.0, %error, "the connection to a box broke");
+                        tracing::debug!(machine = machine.0, %error, proved, "the connection to a box broke");
+                    }
+                    if end.is_err() || !proved {
                         // What lies in the socket must not reach a box that comes back.
                         let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
                     }
                     drop(stream);
                     if self.address().is_none() {
-                        return; // It left the list; should it be back already, that is another's to tell of.
+                        // It left the list; should it be back already, that is another's to tell of.
+                        return self.tell_departed(proved);
                     }
                     if let Some(link) = self.hub.lock().nodes.get_mut(&machine) {
                         link.outbox.reset();
                     }
                     self.fail_probe(Outcome::Lost);
-                    self.tell(Input::LinkBroken { machine });
+                    self.tell(Input::LinkBroken { machine, proved });
                     if up.elapsed() > SHORT {
                         wait = AGAIN.0;
                         // What broke it may have broken the connections of all planners. A set-up does not wait.
@@ -232,6 +227,8 @@
             woken_within(wake, draws.half(wait)).await;
             wait = (wait * 2).min(AGAIN.1);
         }
+        // No connection is up, and nothing is out on one.
+        self.tell_departed(true);
     }
 
     /// Whether there is a place for the connection. Where there is none, waits until there may be one: at once where
@@ -287,7 +284,7 @@
                 }
             }
             let at = (self.machine, self.life, address);
-            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(End::Closed) };
+            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(End::Left) };
             let open = {
                 let mut inner = self.hub.lock();
                 if inner.is_asked_back(self.hub.now(), self.machine) {
--- a/src/wire/trail.rs
+++ b/src/wire/trail.rs
@@ -50,11 +50,14 @@
         }
         Input::DialFailed { machine }
         | Input::DialRefused { machine, .. }
-        | Input::LinkBroken { machine }
+        | Input::LinkBroken { machine, .. }
         | Input::LinkUp { machine }
         | Input::MachineLost { machine, .. } => {
             tracing::debug!(target: TARGET, machine = name(machine), ?input, "link");
         }
+        Input::Departed { departure, proved } => {
+            tracing::debug!(target: TARGET, departure, proved, "a machine that left ended its connection");
+        }
         Input::OwnerGone { link } => tracing::debug!(target: TARGET, link, "owner gone"),
         _ => {}
     }
@@ -70,6 +73,9 @@
         Effect::GiveUp { machine, job } => {
             tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), "taken back");
         }
+        Effect::Disconnect { machine, departure } => {
+            tracing::debug!(target: TARGET, machine = name(machine), departure, "disconnected");
+        }
         Effect::Ask { machine, ask } => {
             tracing::debug!(target: TARGET, machine = name(machine), ask, "asked")
         }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -262,9 +262,13 @@
     wires.iter().for_each(|wire| wait(wire, 10_000));
     wires[first].line().expect("a set-up");
     wires[first].send(b"?\n");
-    wires[1 - first].line().expect("the set-up goes to the other");
-    wait(&wires[first], 2);
     let end = std::io::Read::read(&mut wires[first].stream, &mut [0]);
-    let open = matches!(&end, Err(e) if matches!(e.kind(), WouldBlock | TimedOut));
-    assert!(!open, "the connection is open still: {end:?}");
+    assert!(matches!(end, Ok(0)), "the planner ends the connection: {end:?}");
+    // Nothing goes elsewhere while its machine has not ended it, too.
+    wait(&wires[1 - first], 20);
+    let early = wires[1 - first].stream.peek(&mut [0]);
+    assert!(matches!(&early, Err(e) if matches!(e.kind(), WouldBlock | TimedOut)), "{early:?}");
+    wait(&wires[1 - first], 10_000);
+    wires[first].stream.shutdown(std::net::Shutdown::Both).expect("it is up");
+    wires[1 - first].line().expect("the set-up goes to the other");
 }
