Answer every request before the earliest SIGKILL of a planner that stops

Callers saw: requests taken by a planner that stops and never answered (rule lost). Change: decide/shutdown has the times (all answered 0.25 s before the earliest SIGKILL, ended 0.1 s before it); Input::Draining carries that time, what waits then is refused where it never ran and failed where it may have, and later requests are refused at once.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,5 +5,6 @@
 pub mod groups;
 pub mod limits;
 pub mod links;
+pub mod shutdown;
 pub mod silence;
 pub mod spread;
--- /dev/null
+++ b/src/decide/shutdown/tests.rs
@@ -0,0 +1,25 @@
+use super::*;
+
+/// Guards what a planner took against the SIGKILL that may follow its SIGTERM.
+#[test]
+fn all_is_answered_and_over_before_the_earliest_kill() {
+    for longest in [0.0, 0.1, 1.0, 2.9, 3.0, 6.5, f64::INFINITY] {
+        let earliest_kill = longest.min(3.0) + 0.7;
+        let times = Timeline::new(longest);
+        assert!(times.answers_by_s() < earliest_kill - 0.2, "longest {longest}");
+        assert_eq!(times.step(earliest_kill - 0.09, 0.0), Step::End, "longest {longest}");
+        assert_eq!(times.step(times.answers_by_s(), 0.0), Step::EndIfQuiet, "longest {longest}");
+    }
+}
+
+/// Guards clients that have not heard of the stop: a planner with nothing to do is there for them.
+#[test]
+fn a_quiet_planner_stays_as_long_as_clients_may_come() {
+    let times = Timeline::new(2.0);
+    assert_eq!(times.step(0.89, 0.89), Step::Wait);
+    assert_eq!(times.step(0.91, 0.1), Step::Wait);
+    assert_eq!(times.step(0.91, 0.2), Step::EndIfQuiet);
+    let mut hastened = times;
+    hastened.hasten(0.3);
+    assert_eq!((hastened.answers_by_s(), hastened.step(0.3, 0.0)), (0.3, Step::EndIfQuiet));
+}
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -4,10 +4,11 @@
 mod config;
 pub(crate) mod operators;
 
-use crate::placer::{ListKind, Seconds, Settings};
+use crate::decide::shutdown::{Step, Timeline};
+use crate::placer::{ListKind, Settings};
 use crate::state::{Core, Input, Keep};
 use crate::vocabulary::{self, Vocabulary};
-use crate::wire::hub::{seconds, Hub};
+use crate::wire::hub::Hub;
 use crate::wire::platform::Source;
 use crate::wire::{peers, platform, rest};
 use config::{Config, ConfigError};
@@ -20,14 +21,6 @@
 use tokio::sync::{mpsc, watch};
 use tracing_subscriber::EnvFilter;
 
-/// Clients keep coming for so long after SIGTERM; no sooner may the planner stop.
-const TAKES_ON: Duration = Duration::from_millis(900);
-/// So long after its last answer a draining planner waits for one more request.
-const QUIET: Duration = Duration::from_millis(150);
-/// What is left unanswered so long after the longest deadline is left for good.
-const DRAIN_SPARE_S: Seconds = 0.6;
-/// The longest deadline counts as this at least.
-const DRAIN_LEAST_S: Seconds = 3.0;
 /// Time between looks at a draining planner.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -295,36 +288,45 @@
         Ok(())
     }
 
-    /// Answers what was taken and what still comes, then returns. A second interrupt cuts it short.
+    /// Answers what was taken and what still comes, then returns. A further interrupt has all of it answered at once.
     async fn drain(&mut self, hub: &Hub, signals: &mut Signals) {
         let since = Instant::now();
         self.enter(Phase::Draining { since });
-        hub.lock().draining = true;
-        hub.apply(Input::Draining);
-        let longest = {
-            let inner = hub.lock();
+        let mut times = {
+            let mut inner = hub.lock();
+            inner.draining = true;
             let deadlines = inner.core.settings().classes.iter().map(|c| c.deadline_s);
-            seconds(deadlines.fold(DRAIN_LEAST_S, f64::max) + DRAIN_SPARE_S)
+            Timeline::new(deadlines.fold(0.0, f64::max))
         };
+        let told_at = hub.now();
+        hub.apply(Input::Draining { until: told_at + times.answers_by_s() });
         let mut busy = since;
         loop {
             if !hub.lock().is_quiet() {
                 busy = Instant::now();
             }
-            if since.elapsed() >= longest {
-                return;
-            }
-            if since.elapsed() >= TAKES_ON && busy.elapsed() >= QUIET {
-                // After a pause of the process this may be the first to run.
-                hear_arrived().await;
-                if hub.lock().is_quiet() {
+            match times.step(since.elapsed().as_secs_f64(), busy.elapsed().as_secs_f64()) {
+                Step::Wait => {}
+                Step::EndIfQuiet => {
+                    // After a pause of the process this may be the first to run.
+                    hear_arrived().await;
+                    if hub.lock().is_quiet() {
+                        return;
+                    }
+                    busy = Instant::now();
+                }
+                Step::End => {
+                    let open = hub.lock().core.pending();
+                    tracing::warn!(open, "the planner ends, as it may be killed now");
                     return;
                 }
-                busy = Instant::now();
             }
             tokio::select! {
                 () = tokio::time::sleep(LOOK) => {}
-                _ = signals.interrupts.recv() => return,
+                _ = signals.interrupts.recv() => {
+                    times.hasten(since.elapsed().as_secs_f64());
+                    hub.apply(Input::Draining { until: hub.now() });
+                }
                 // The board may move while the planner drains, too.
                 _ = signals.hups.recv() => self.reload(hub),
             }
--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -9,6 +9,7 @@
     Unproved(RequestId, AttemptNo),
     Unsent(RequestId, AttemptNo),
     Answer(RequestId),
+    ShutDown,
     Unlisted(RequestId),
     Forget(RequestId),
     Group(GroupId),
@@ -49,9 +50,10 @@
                     // Guards rule 1, should the module have let a job pass its deadline.
                     if self.jobs.get(&job).is_some_and(|j| j.phase == Phase::Pending) {
                         effects.push(Effect::Log(format!("job {:016x} was answered by its guard", job.0)));
-                        self.take_back(now, job, true, effects);
+                        self.take_back(now, job, Final::Failed, effects);
                     }
                 }
+                Alarm::ShutDown => self.answer_all(now, effects),
                 Alarm::Unlisted(job) => {
                     let machine =
                         self.jobs.get(&job).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -434,7 +434,11 @@
         let mut world = World::new(9, 2);
         let id = world.group(1, 8, 1.0, OnLoss::Keep);
         world.run(0.03);
-        world.tell(if stop { Input::Draining } else { Input::CancelGroup { group: id } });
+        world.tell(if stop {
+            Input::Draining { until: f64::INFINITY }
+        } else {
+            Input::CancelGroup { group: id }
+        });
         world.run(0.2);
         assert!(matches!(world.view(id).answer, Some(Answer::Refused { .. })), "{:?}", world.view(id));
         assert!(world.machines.iter().all(|m| m.copies.is_empty()));
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -37,6 +37,17 @@
     }
 }
 
+/// The last word on a job that is taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Final {
+    /// It failed: it may have run.
+    Failed,
+    /// It is refused: it never ran.
+    Refused,
+    /// Its owner does not wait.
+    Unowed,
+}
+
 /// Where a machine lies; kept with a job, as its machine may leave the list within the window.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Spot {
@@ -143,8 +154,9 @@
         faults.iter().find(|(wrong, _)| *wrong).map_or(Ok(()), |(_, what)| Err(*what))
     }
 
-    pub(super) fn submit(&mut self, now: Seconds, ask: Ask, effects: &mut Vec<Effect>) {
+    pub(super) fn submit(&mut self, now: Seconds, mut ask: Ask, effects: &mut Vec<Effect>) {
         let (id, owner) = (ask.job, ask.owner);
+        ask.task.deadline = ask.task.deadline.min(self.answers_by);
         if self.jobs.contains_key(&id) {
             return self.used_twice(now, id, owner, effects);
         }
@@ -153,7 +165,7 @@
             return effects.push(Effect::Failed { owner, job: id });
         }
         let crowded = matches!(owner, Owner::Link(link) if self.owed(link).open >= MOST_ON_LINK);
-        if self.is_full() || crowded {
+        if self.is_full() || crowded || now >= self.answers_by {
             let (why, retry_in_s) = (Refusal::Busy, DOOR_RETRY_S);
             return effects.push(Effect::Refused { owner, job: id, why, retry_in_s });
         }
@@ -186,7 +198,7 @@
     ) {
         let first = self.jobs.get(&id).filter(|j| j.owner == owner && j.phase == Phase::Pending);
         if first.is_some() {
-            self.take_back(now, id, true, effects);
+            self.take_back(now, id, Final::Failed, effects);
         }
         if let Owner::Link(link) = owner {
             effects.push(Effect::Expel { link });
@@ -328,17 +340,17 @@
             self.feed(now, Event::Withdrawn { request: id }, effects);
             self.feed(now, ended(id, attempt, Outcome::Cancelled, Reason::Unknown, true, None), effects);
         } else {
-            self.take_back(now, id, false, effects);
+            self.take_back(now, id, Final::Unowed, effects);
         }
     }
 
     /// Ends a job that waits, with a final answer or, where none is owed, without; the module hears of it.
-    pub(super) fn take_back(&mut self, now: Seconds, id: RequestId, answer: bool, effects: &mut Vec<Effect>) {
+    pub(super) fn take_back(&mut self, now: Seconds, id: RequestId, last: Final, effects: &mut Vec<Effect>) {
         let trial = self.give_up_trial(id, effects);
-        if answer {
-            self.answer(now, id, None, effects);
-        } else {
-            self.close(now, id, Phase::Cancelled, effects);
+        match last {
+            Final::Failed => self.answer(now, id, None, effects),
+            Final::Refused => self.answer(now, id, Some(DOOR_RETRY_S), effects),
+            Final::Unowed => self.close(now, id, Phase::Cancelled, effects),
         }
         self.feed(now, Event::Withdrawn { request: id }, effects);
         if let Some(trial) = trial {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -15,6 +15,7 @@
 mod limits;
 mod machine_table;
 mod machines;
+mod shutdown;
 mod views;
 mod words;
 
@@ -26,7 +27,7 @@
 use groups::Groups;
 pub use groups::{GroupView, MemberView};
 pub use history::{Change, ChangeKind, History, Resume};
-use jobs::{Job, Trial};
+use jobs::{Final, Job, Trial};
 use limits::InForce;
 use machine_table::{MachineTable, Node, Stands};
 pub use views::{JobView, MachineView, Object};
@@ -74,6 +75,8 @@
     groups: Groups,
     ghosts: Ghosts,
     departures: Departures,
+    /// By when every request is answered, where the planner stops.
+    answers_by: Seconds,
 }
 
 impl Core {
@@ -105,6 +108,7 @@
             groups: Groups::default(),
             ghosts: Ghosts::default(),
             departures: Departures::default(),
+            answers_by: f64::INFINITY,
         })
     }
 
@@ -211,7 +215,7 @@
             }
             Input::OwnerFaulty { link } => {
                 for job in self.open_on(link) {
-                    self.take_back(now, job, true, effects);
+                    self.take_back(now, job, Final::Failed, effects);
                 }
             }
             Input::Sent { job, attempt } => {
@@ -223,10 +227,7 @@
             Input::Bound { machine, job, body } => self.bound(now, machine, job, body, effects),
             Input::SubmitGroup(ask) => self.submit_group(now, ask, effects),
             Input::CancelGroup { group } => self.group_hears(now, group, groups::Event::Cancel, effects),
-            Input::Draining => {
-                self.leave_fleet();
-                self.stop_groups(now, effects);
-            }
+            Input::Draining { until } => self.shut_down(now, until, effects),
             Input::Join { plan, life } => self.join(now, &plan, life),
             Input::Peer { from, words } => self.hear_peer(now, from, words, effects),
             Input::LinkUp { machine } => self.cut_again(machine, effects),
--- /dev/null
+++ b/src/state/shutdown.rs
@@ -0,0 +1,40 @@
+//! The stop of the planner: every request has its answer before the process may be killed.
+
+use super::*;
+
+impl Core {
+    /// The planner stops: all that waits is answered by that time, and what comes later is refused.
+    pub(super) fn shut_down(&mut self, now: Seconds, until: Seconds, effects: &mut Vec<Effect>) {
+        self.leave_fleet();
+        self.stop_groups(now, effects);
+        self.answers_by = self.answers_by.min(until);
+        self.alarm(self.answers_by, Alarm::ShutDown);
+        for job in self.jobs.values_mut().filter(|job| job.phase == Phase::Pending) {
+            job.task.deadline = job.task.deadline.min(self.answers_by);
+        }
+        if self.answers_by <= now {
+            self.answer_all(now, effects);
+        }
+    }
+
+    /// Answers all that waits: as refused what never ran, as failed what may have.
+    pub(super) fn answer_all(&mut self, now: Seconds, effects: &mut Vec<Effect>) {
+        if now < self.answers_by {
+            return;
+        }
+        let waits = self.jobs.iter().filter(|(_, job)| job.phase == Phase::Pending);
+        let waits: Vec<(RequestId, Final)> = waits.map(|(&id, job)| (id, last_word(job))).collect();
+        for (id, last) in waits {
+            self.take_back(now, id, last, effects);
+        }
+    }
+}
+
+fn last_word(job: &Job) -> Final {
+    let may_have_run = job.risky_since.is_some() || job.trial.is_some_and(|trial| trial.left);
+    if may_have_run {
+        Final::Failed
+    } else {
+        Final::Refused
+    }
+}
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -111,8 +111,9 @@
     SubmitGroup(GroupAsk),
     /// The owner of a group gives it up, or ends it.
     CancelGroup { group: GroupId },
-    /// The planner stops: what does not stand whole is given up.
-    Draining,
+    /// The planner stops: groups that do not stand whole are given up, and every request has its answer by that time; what
+    /// comes later is refused. May come again with an earlier time.
+    Draining { until: Seconds },
     /// A connection to the machine is up.
     LinkUp { machine: MachineId },
     /// An owner gives the job up, or ends the task that stands; `cause` goes on to its machine.
