--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -151,3 +151,55 @@
     inner.owners.values_mut().for_each(|link| link.push(vec![0], 100.0));
     assert_eq!(open(&mut inner, 100.0), None);
 }
+
+/// Takes all that it is given.
+#[derive(Default)]
+struct Takes(std::cell::RefCell<Vec<u8>>);
+
+impl Sink for Takes {
+    fn try_write_vectored(&self, slices: &[io::IoSlice<'_>]) -> io::Result<usize> {
+        let mut taken = self.0.borrow_mut();
+        let before = taken.len();
+        slices.iter().for_each(|slice| taken.extend_from_slice(slice));
+        Ok(taken.len() - before)
+    }
+}
+
+/// Guards servers against a deadline that its client no longer has: a set-up that waited tells what is left as it leaves.
+#[test]
+fn a_set_up_that_waited_tells_what_is_left_of_its_time() {
+    let (hub, name, _) = offered("repeatable", 1.0);
+    let life = hub.lock().nodes[&name].life;
+    std::thread::sleep(Duration::from_millis(250));
+    let machine = Takes::default();
+    hub.write_out((name, life, "a:1"), &machine, &mut Vec::new()).expect("it is written");
+    let line: serde_json::Value = serde_json::from_slice(&machine.0.borrow()).expect("a set-up");
+    let left_ms: u64 = line["meta"]["left"].as_str().expect("a time").parse().expect("a number");
+    assert!((1..=750).contains(&left_ms), "{left_ms} ms left of 1000 after 250");
+}
+
+/// Guards clients that have left: their end has come, and no attempt begins before it is read.
+#[tokio::test]
+async fn no_attempt_leaves_for_a_client_whose_end_has_come_unread() {
+    let (hub, name, owner) = offered("repeatable", 5.0);
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = std::net::TcpStream::connect(listener.local_addr().expect("its address")).expect("up");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let stream = Arc::new(stream);
+    hub.lock().owners.get_mut(&owner).expect("a link").stream = Some(stream.clone());
+    client.shutdown(std::net::Shutdown::Both).expect("closed");
+    let has_ended =
+        || matches!(socket2::SockRef::from(&*stream).peek(&mut [std::mem::MaybeUninit::uninit()]), Ok(0));
+    while !has_ended() {
+        std::thread::yield_now();
+    }
+    // Longer than what was read a moment ago may count as heard.
+    std::thread::sleep(Duration::from_millis(100));
+    let life = hub.lock().nodes[&name].life;
+    let machine = Takes::default();
+    hub.write_out((name, life, "a:1"), &machine, &mut Vec::new()).expect("nothing fails");
+    assert!(machine.0.borrow().is_empty(), "an attempt began");
+    hub.apply(Input::OwnerGone { link: owner });
+    hub.write_out((name, life, "a:1"), &machine, &mut Vec::new()).expect("nothing fails");
+    assert!(machine.0.borrow().is_empty(), "an attempt began after its client's end was heard");
+}
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -161,3 +161,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/wire/outbox/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+use std::cell::Cell;
+
+/// Fails once with an error of the system, then takes a part of what it is given.
+struct FailsOnce(Cell<Option<i32>>, usize);
+
+impl Sink for FailsOnce {
+    fn try_write_vectored(&self, slices: &[IoSlice<'_>]) -> io::Result<usize> {
+        match self.0.take() {
+            Some(code) => Err(io::Error::from_raw_os_error(code)),
+            None => Ok(slices.iter().map(|s| s.len()).sum::<usize>().min(self.1)),
+        }
+    }
+}
+
+/// Guards answers and attempts against a write that a signal interrupts or that finds no buffer: their connection is as good
+/// as before, and what waits goes out with a later write.
+#[test]
+fn a_write_that_is_interrupted_or_finds_no_buffer_goes_on_later() {
+    for (code, name) in [(4, "EINTR"), (105, "ENOBUFS"), (12, "ENOMEM")] {
+        let mut outbox = Outbox::new(100);
+        assert!(outbox.push(vec![0; 10], Tag::Plain));
+        let sink = FailsOnce(Cell::new(Some(code)), 3);
+        outbox.write(&sink, &mut Vec::new()).unwrap_or_else(|error| panic!("{name}: {error}"));
+        outbox.write(&sink, &mut Vec::new()).expect("it goes on");
+        assert!(outbox.is_empty(), "{name}");
+    }
+}
