Go on after reads and writes that a signal or a want of buffers broke off

Cause: Outbox::write, hear_all, talk, hear_out and is_unread took every error but EAGAIN for the end of the connection; a dial that EINTR broke off counted as silence of its machine, and any failed accept (ECONNABORTED, EINTR) took an idle client's place. Change: wire/errors.rs names shortages and transient errors; each place goes on, a write without buffers after 5 ms. Errors of datagrams give other tasks their turn, too.

--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -11,7 +11,7 @@
 pub use datagrams::DatagramCounts;
 pub use machine_connections::{Leaving, NodeLink};
 
-use super::outbox::{Sink, Tag};
+use super::outbox::{Sink, Tag, Written};
 use super::platform::node::{self, cause};
 use super::platform::owner;
 use super::read_buffers::ReadBuffers;
@@ -158,14 +158,14 @@
         }
     }
 
-    /// Writes what waits for a machine, as long as the link is that one, and tells whether more waits. What left is
+    /// Writes what waits for a machine, as long as the link is that one, and tells how far it came. What left is
     /// booked also where the connection broke in the midst of it: it may have run.
     pub fn write_out(
         &self,
         (machine, life, address): (MachineId, u64, &str),
         sink: &impl Sink,
         left: &mut Vec<(RequestId, AttemptNo)>,
-    ) -> io::Result<Option<bool>> {
+    ) -> io::Result<Option<Written>> {
         let mut inner = self.lock();
         // Whoever was stopped between deciding and writing looks at the time once more: what is due by now takes back
         // what must not leave any longer.
@@ -175,11 +175,10 @@
         let link = inner.nodes.get_mut(&machine).filter(|l| l.life == life && l.address == address);
         let Some(link) = link else { return Ok(None) };
         let written = link.outbox.write(sink, left);
-        let waits = !link.outbox.is_empty();
         for (job, attempt) in left.drain(..) {
             self.apply_in(&mut inner, Input::Sent { job, attempt });
         }
-        written.map(|()| Some(waits))
+        written.map(Some)
     }
 
     /// Runs the core's alarms, for as long as the program does.
--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -7,6 +7,7 @@
 use crate::state::Owner;
 use crate::wire::outbox::{Outbox, Tag};
 use std::collections::BTreeMap;
+use std::io;
 use std::mem::MaybeUninit;
 use std::net::IpAddr;
 use std::sync::Arc;
@@ -30,8 +31,18 @@
 
 /// Whether bytes have come on a connection that nobody has read yet.
 pub fn is_unread(stream: &TcpStream) -> bool {
+    matches!(peek(stream), Ok(1..))
+}
+
+/// How many bytes have come, up to one; none at the end of the connection.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
     let mut one = [MaybeUninit::uninit(); 1];
-    matches!(socket2::SockRef::from(stream).peek(&mut one), Ok(1..))
+    loop {
+        match socket2::SockRef::from(stream).peek(&mut one) {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
 }
 
 /// An owner's connection.
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -79,7 +79,7 @@
     std::thread::sleep(Duration::from_millis(150));
     let takes_nothing = Breaks(0.into());
     let waits = hub.write_out((name, life, "a:1"), &takes_nothing, &mut Vec::new());
-    assert_eq!(waits.expect("nothing is written"), Some(false));
+    assert_eq!(waits.expect("nothing is written"), Some(Written::All));
     assert!(!hub.lock().owners[&owner].outbox.is_empty(), "its owner is answered");
 }
 
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -3,9 +3,11 @@
 //! Messages stay here whole until the socket takes them, so that a set-up which was given up can be taken
 //! back; only the one whose first byte has left must be completed.
 
+use super::errors::is_shortage;
 use crate::placer::{AttemptNo, RequestId};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// Where bytes go: a socket, or one that a test makes fail.
@@ -20,6 +22,20 @@
     }
 }
 
+/// Wait before a write that found no buffer is tried again.
+pub const BUFFERS_AGAIN: Duration = Duration::from_millis(5);
+
+/// How far a write came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Written {
+    /// Nothing waits.
+    All,
+    /// The rest waits until the socket takes more.
+    Blocked,
+    /// The system lacks buffers: the rest waits, and the socket does not tell until when.
+    Short,
+}
+
 /// Count. Messages that are handed to the socket at once.
 const COALESCED: usize = 32;
 
@@ -105,7 +121,7 @@
         if half_set_up {
             return Ok(());
         }
-        self.write(stream, &mut Vec::new())
+        self.write(stream, &mut Vec::new()).map(|_| ())
     }
 
     /// After the connection ended for good: what is due elsewhere, also where only a part of it was written.
@@ -126,7 +142,11 @@
     }
 
     /// Writes what the socket takes now, and tells which set-ups began to leave, also where an error follows.
-    pub fn write(&mut self, stream: &impl Sink, left: &mut Vec<(RequestId, AttemptNo)>) -> io::Result<()> {
+    pub fn write(
+        &mut self,
+        stream: &impl Sink,
+        left: &mut Vec<(RequestId, AttemptNo)>,
+    ) -> io::Result<Written> {
         while !self.parcels.is_empty() {
             let mut from = self.written;
             let rest = |p: &'_ Parcel| std::mem::take(&mut from)..p.bytes.len();
@@ -136,11 +156,13 @@
             match stream.try_write_vectored(&slices) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => self.advance(count, left),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Written::Blocked),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if is_shortage(&e) => return Ok(Written::Short),
                 Err(e) => return Err(e),
             }
         }
-        Ok(())
+        Ok(Written::All)
     }
 
     fn advance(&mut self, mut count: usize, left: &mut Vec<(RequestId, AttemptNo)>) {
--- a/src/wire/peers/mod.rs
+++ b/src/wire/peers/mod.rs
@@ -50,8 +50,9 @@
             }
             came = socket.recv_from(&mut bytes) => {
                 // An error tells that a planner is not there.
-                let Ok((length, from)) = came else { continue };
-                take_in(&hub, digest, &bytes[..length], listed.get(&from).copied());
+                if let Ok((length, from)) = came {
+                    take_in(&hub, digest, &bytes[..length], listed.get(&from).copied());
+                }
                 in_a_row += 1;
                 if in_a_row >= IN_A_ROW {
                     in_a_row = 0;
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -13,7 +13,9 @@
 use crate::placer::*;
 use crate::state::Input;
 use crate::wire::arrived::{read_arrived, Reached};
+use crate::wire::errors::is_transient;
 use crate::wire::hub::{seconds, Hub};
+use crate::wire::outbox::{Written, BUFFERS_AGAIN};
 use crate::wire::read_buffers::READ_BYTES;
 use bytes::{Buf, BytesMut};
 use std::io;
@@ -284,7 +286,10 @@
                 }
             }
             let at = (self.machine, self.life, address);
-            let Some(waits) = self.hub.write_out(at, stream, &mut left)? else { return Ok(End::Left) };
+            let Some(written) = self.hub.write_out(at, stream, &mut left)? else { return Ok(End::Left) };
+            if written == Written::Short {
+                sleep(BUFFERS_AGAIN).await;
+            }
             let open = {
                 let mut inner = self.hub.lock();
                 if inner.is_asked_back(self.hub.now(), self.machine) {
@@ -299,7 +304,10 @@
                 }
                 look_at = planned;
             }
-            let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+            let interest = match written {
+                Written::All => Interest::READABLE,
+                Written::Blocked | Written::Short => Interest::READABLE | Interest::WRITABLE,
+            };
             tokio::select! {
                 () = wakes.write.notified() => self.hub.lock().places.used(self.hub.now(), self.machine),
                 () = wakes.look.notified() => {}
@@ -348,6 +356,7 @@
                             Ok(0) => return Ok(End::Closed),
                             Ok(_) => self.hear_of(buffer, &mut watch, &mut half_line_since)?,
                             Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                            Err(error) if is_transient(&error) => {}
                             Err(error) => return Err(error),
                         }
                         if buffer.is_empty() {
@@ -429,6 +438,7 @@
                     Ok(0) => return Ok(()),
                     Ok(_) => _ = self.hear(&mut buffer)?,
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(error) if is_transient(&error) => {}
                     Err(error) => return Err(error),
                 }
             }
--- a/src/wire/platform/boxes/dial.rs
+++ b/src/wire/platform/boxes/dial.rs
@@ -1,6 +1,7 @@
 //! Dials to machines, and the dial beside a connection that is in use.
 
 use crate::decide::silence::Dial;
+use crate::wire::errors::is_shortage;
 use std::future::{pending, Future};
 use std::io;
 use std::pin::Pin;
@@ -22,13 +23,13 @@
 impl Dialled {
     /// What an error says of the machine.
     pub fn failed(error: &io::Error) -> Dialled {
-        use io::ErrorKind::{AddrInUse, AddrNotAvailable, ConnectionRefused, OutOfMemory, PermissionDenied};
-        // EMFILE, ENFILE and ENOBUFS have no kind of their own.
-        const SHORT: [i32; 3] = [24, 23, 105];
+        use io::ErrorKind::{
+            AddrInUse, AddrNotAvailable, ConnectionRefused, Interrupted, OutOfMemory, PermissionDenied,
+        };
         match error.kind() {
             ConnectionRefused => Dialled::Refused,
-            AddrInUse | AddrNotAvailable | OutOfMemory | PermissionDenied => Dialled::Short,
-            _ if error.raw_os_error().is_some_and(|code| SHORT.contains(&code)) => Dialled::Short,
+            AddrInUse | AddrNotAvailable | Interrupted | OutOfMemory | PermissionDenied => Dialled::Short,
+            _ if is_shortage(error) => Dialled::Short,
             _ => Dialled::Silent,
         }
     }
--- a/src/wire/platform/boxes/end.rs
+++ b/src/wire/platform/boxes/end.rs
@@ -2,6 +2,7 @@
 //! too. A connection that only this planner has ended may not be heard of where the network is cut.
 
 use super::{Link, READ_BYTES};
+use crate::wire::errors::is_transient;
 use bytes::BytesMut;
 use std::io::{self, ErrorKind};
 use std::net::Shutdown;
@@ -97,7 +98,7 @@
             match stream.try_read_buf(buffer) {
                 Ok(0) => return true,
                 Ok(_) => {}
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock || is_transient(&error) => {}
                 Err(error) => return FarEnd::after(&error) == FarEnd::Ended,
             }
             unused.clear();
--- a/src/wire/platform/boxes/tests.rs
+++ b/src/wire/platform/boxes/tests.rs
@@ -19,6 +19,7 @@
         (24, "short"),    // EMFILE
         (23, "short"),    // ENFILE
         (105, "short"),   // ENOBUFS
+        (4, "short"),     // EINTR
         (12, "short"),    // ENOMEM
         (99, "short"),    // EADDRNOTAVAIL
         (98, "short"),    // EADDRINUSE
--- a/src/wire/platform/lists.rs
+++ b/src/wire/platform/lists.rs
@@ -69,7 +69,10 @@
     // Bytes that never make a line are silence, too.
     let (mut silent_at, mut came) = (Instant::now() + SILENCE, 0);
     loop {
-        let read = timeout_at(silent_at, stream.read_buf(&mut buffer)).await??;
+        let read = match timeout_at(silent_at, stream.read_buf(&mut buffer)).await? {
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+            read => read?,
+        };
         if read == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -5,7 +5,9 @@
 use crate::placer::*;
 use crate::state::{Ask, Core, Input, Owner, Spec};
 use crate::wire::arrived::TURN_BYTES;
+use crate::wire::errors::is_shortage;
 use crate::wire::hub::{is_unread, Hub, Inner};
+use crate::wire::outbox::{Written, BUFFERS_AGAIN};
 use bytes::{Buf, BytesMut};
 use std::io;
 use std::net::SocketAddr;
@@ -44,12 +46,17 @@
                     tokio::spawn(connection(hub.clone(), stream, peer, id, wake));
                 }
             }
-            Err(error) => {
+            Err(error) if is_shortage(&error) => {
                 // Most likely no descriptor is left: one that is of no use is given back.
                 tracing::debug!(%error, "cannot accept");
                 hub.lock().make_room();
                 tokio::time::sleep(ACCEPT_AGAIN).await;
             }
+            Err(error) => {
+                // The next one may be as good as ever.
+                tracing::debug!(%error, "cannot accept this one");
+                tokio::task::yield_now().await;
+            }
         }
     }
 }
@@ -74,15 +81,19 @@
     let mut looks = tokio::time::interval(LOOK);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let waits = {
+        let written = {
             let mut inner = hub.lock();
             let Some(link) = inner.owners.get_mut(&id) else { return Ok(()) };
-            link.outbox.write(stream, &mut Vec::new())?;
+            let written = link.outbox.write(stream, &mut Vec::new())?;
             if let Some(why) = link.closing {
                 return Err(io::Error::other(why));
             }
-            !link.outbox.is_empty()
+            written
         };
+        if written == Written::Short {
+            tokio::time::sleep(BUFFERS_AGAIN).await;
+        }
+        let waits = written != Written::All;
         if let Some(over) = over.take_if(|_| !waits) {
             return Err(over);
         }
@@ -180,6 +191,9 @@
                 turn.bad += bad;
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+            // The socket is as readable as before.
+            Err(error) if is_shortage(&error) => break,
             Err(error) => return Err(error),
         }
     }
