Write into a set-up what is left of its time as it leaves

Cause: Effect::Launch became bytes at once (hub.rs). Change: the queue keeps the set-up and makes its line anew before it leaves, where it is older than 10 ms.

--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -41,7 +41,7 @@
 use crate::state::{Core, Effect, GroupAsk, GroupId, Input, Keep, Owner, Refusal, Spec};
 use crate::vocabulary;
 use crate::wire::peers::words;
-use crate::wire::platform::node::{self, cause};
+use crate::wire::platform::node::{self, cause, SetUp};
 use crate::wire::platform::{board, owner, owners};
 use serde_json::Value;
 use std::path::Path;
@@ -408,9 +408,8 @@
         let to_machine = |machine, bytes| Output::ToMachine { machine, bytes };
         match effect {
             Effect::Launch { machine, job, attempt, left_s, fence, spec } => {
-                let mut bytes = fence.map_or_else(Vec::new, |ask| node::check(node::PROOF | ask));
-                bytes.extend(node::launch(job, left_s, &spec));
-                out.push(to_machine(machine, bytes));
+                let set_up = SetUp { job, attempt, until: now + left_s, fence, spec };
+                out.push(to_machine(machine, set_up.lines(now)));
                 // Its first byte has left; nothing follows from that yet.
                 self.core.apply(now, Input::Sent { job, attempt }, &mut Vec::new());
             }
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -12,7 +12,7 @@
 pub use machine_connections::{Leaving, NodeLink};
 
 use super::outbox::{Sink, Tag, Written};
-use super::platform::node::{self, cause};
+use super::platform::node::{self, cause, SetUp};
 use super::platform::owner;
 use super::read_buffers::ReadBuffers;
 use super::trail;
@@ -174,6 +174,7 @@
         }
         let link = inner.nodes.get_mut(&machine).filter(|l| l.life == life && l.address == address);
         let Some(link) = link else { return Ok(None) };
+        link.outbox.renew(self.now());
         let written = link.outbox.write(sink, left);
         for (job, attempt) in left.drain(..) {
             self.apply_in(&mut inner, Input::Sent { job, attempt });
@@ -205,10 +206,8 @@
     fn carry_out(&mut self, now: Seconds, effect: Effect) {
         match effect {
             Effect::Launch { machine, job, attempt, left_s, fence, spec } => {
-                // One message, so that the test goes wherever the set-up does, and is taken back with it.
-                let mut lines = fence.map_or_else(Vec::new, |ask| node::check(node::PROOF | ask));
-                lines.extend(node::launch(job, left_s, &spec));
-                self.write_node(machine, lines, Tag::Launch(job, attempt));
+                let set_up = SetUp { job, attempt, until: now + left_s, fence, spec };
+                self.write_set_up(now, machine, set_up);
             }
             Effect::GiveUp { machine, job } => {
                 let Some(link) = self.nodes.get_mut(&machine) else { return };
--- a/src/wire/hub/machine_connections.rs
+++ b/src/wire/hub/machine_connections.rs
@@ -6,7 +6,7 @@
 use crate::placer::{MachineId, Seconds};
 use crate::state::{Core, DepartureId};
 use crate::wire::outbox::{Outbox, Sink, Tag};
-use crate::wire::platform::node;
+use crate::wire::platform::node::{self, SetUp};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use tokio::sync::Notify;
@@ -174,10 +174,18 @@
         }
     }
 
+    pub(super) fn write_set_up(&mut self, now: Seconds, machine: MachineId, set_up: SetUp) {
+        let Some(link) = self.nodes.get_mut(&machine) else { return };
+        if !link.outbox.push_set_up(now, set_up) {
+            // Its time-out ends it; a machine this far behind is of no use.
+            tracing::debug!(machine = machine.0, "a machine does not read; a set-up for it is dropped");
+        }
+        link.wake.notify_one();
+    }
+
     pub(super) fn write_node(&mut self, machine: MachineId, bytes: Vec<u8>, tag: Tag) {
         let Some(link) = self.nodes.get_mut(&machine) else { return };
         if !link.outbox.push(bytes, tag) {
-            // The set-up's time-out ends it; a box this far behind is of no use.
             tracing::debug!(machine = machine.0, "a box does not read; a message to it is dropped");
         }
         link.wake.notify_one();
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -4,7 +4,8 @@
 //! back; only the one whose first byte has left must be completed.
 
 use super::errors::is_shortage;
-use crate::placer::{AttemptNo, RequestId};
+use super::platform::node::SetUp;
+use crate::placer::{AttemptNo, RequestId, Seconds};
 use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::time::Duration;
@@ -36,6 +37,8 @@
     Short,
 }
 
+/// Seconds. A set-up whose time was written down longer ago is written down anew before it leaves.
+const STALE_S: Seconds = 0.01;
 /// Count. Messages that are handed to the socket at once.
 const COALESCED: usize = 32;
 
@@ -55,6 +58,8 @@
 struct Parcel {
     bytes: Vec<u8>,
     tag: Tag,
+    /// The set-up that it is, and when its bytes were made.
+    set_up: Option<(SetUp, Seconds)>,
 }
 
 /// A bounded queue of messages.
@@ -74,11 +79,22 @@
     /// Adds a message; false where the reader is so slow that the queue is full.
     #[must_use]
     pub fn push(&mut self, bytes: Vec<u8>, tag: Tag) -> bool {
-        if self.bytes + bytes.len() > self.most {
+        self.push_parcel(Parcel { bytes, tag, set_up: None })
+    }
+
+    /// Adds a set-up; false where the queue is full.
+    #[must_use]
+    pub fn push_set_up(&mut self, now: Seconds, set_up: SetUp) -> bool {
+        let (bytes, tag) = (set_up.lines(now), Tag::Launch(set_up.job, set_up.attempt));
+        self.push_parcel(Parcel { bytes, tag, set_up: Some((set_up, now)) })
+    }
+
+    fn push_parcel(&mut self, parcel: Parcel) -> bool {
+        if self.bytes + parcel.bytes.len() > self.most {
             return false;
         }
-        self.bytes += bytes.len();
-        let parcel = Parcel { bytes, tag };
+        self.bytes += parcel.bytes.len();
+        let tag = parcel.tag;
         if tag != Tag::Kept {
             self.parcels.push_back(parcel);
             return true;
@@ -100,6 +116,21 @@
         self.parcels.iter().skip(begun).any(|p| matches!(p.tag, Tag::Launch(..)))
     }
 
+    /// Has the set-ups that wait and have not begun to leave tell what is left of their time now.
+    pub fn renew(&mut self, now: Seconds) {
+        let begun = usize::from(self.written > 0);
+        for parcel in self.parcels.iter_mut().skip(begun) {
+            let Some((set_up, made_at)) = &mut parcel.set_up else { continue };
+            if now - *made_at < STALE_S {
+                continue;
+            }
+            *made_at = now;
+            self.bytes -= parcel.bytes.len();
+            parcel.bytes = set_up.lines(now);
+            self.bytes += parcel.bytes.len();
+        }
+    }
+
     /// Takes a set-up back; false where its first byte has left.
     pub fn take_back(&mut self, job: RequestId) -> bool {
         let first = usize::from(self.written > 0);
--- a/src/wire/platform/node.rs
+++ b/src/wire/platform/node.rs
@@ -5,6 +5,7 @@
 use crate::vocabulary::Vocabulary;
 use serde::Deserialize;
 use serde_json::{json, Map, Value};
+use std::sync::Arc;
 use thiserror::Error;
 use winnow::combinator::terminated;
 use winnow::error::{ContextError, ErrMode};
@@ -221,6 +222,27 @@
     line(json!({"kind": "launch", "uid": uid(job), "meta": meta, "body": spec.body}))
 }
 
+/// A set-up that waits to be written.
+#[derive(Clone, Debug)]
+pub struct SetUp {
+    pub job: RequestId,
+    pub attempt: AttemptNo,
+    /// When the planner stops waiting for its answer.
+    pub until: Seconds,
+    /// The test that goes right before it.
+    pub fence: Option<u64>,
+    pub spec: Arc<Spec>,
+}
+
+impl SetUp {
+    /// What is written of it if that is now: one message, so that the test goes wherever the set-up does.
+    pub fn lines(&self, now: Seconds) -> Vec<u8> {
+        let mut lines = self.fence.map_or_else(Vec::new, |ask| check(PROOF | ask));
+        lines.extend(launch(self.job, self.until - now, &self.spec));
+        lines
+    }
+}
+
 /// Whether a set-up fits into a line; JSON makes some descriptions longer.
 pub fn fits(job: RequestId, spec: &Spec) -> bool {
     launch(job, MOST_LEFT_S, spec).len() <= MOST_BYTES
