Begin no attempt for a client of whom something came unread

Callers saw (in a test; no play): an attempt that began 100 ms and more after its client had closed. Change: right before set-ups leave, the sockets of those clients that were not read to the end within the last 50 ms are peeked at; where something lies there the set-up is held back (hub/held.rs) until it is read, and then goes or is gone. A request that was just read costs no call.

--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -4,6 +4,7 @@
 mod client_connections;
 mod clock;
 mod datagrams;
+mod held;
 mod machine_connections;
 
 pub use client_connections::{is_unread, OwnerLink};
@@ -23,6 +24,7 @@
 use crate::state::{Core, Effect, Input, Owner, Refusal};
 use client_connections::Orphan;
 use clock::Clock;
+use held::Held;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::IpAddr;
@@ -54,6 +56,8 @@
     /// The places for connections to boxes.
     pub places: Places,
     connects: mpsc::UnboundedSender<(MachineId, u64)>,
+    /// Set-ups that wait until their client is heard.
+    held: Held,
     /// Connections of machines that left the list and whose tasks have not taken note of it, by their lives.
     leaving: BTreeMap<u64, Leaving>,
     next_link: u64,
@@ -96,6 +100,7 @@
             bounds,
             places: Places::new(bounds.links),
             connects,
+            held: Held::default(),
             leaving: BTreeMap::new(),
             next_link: 0,
             silent: BTreeSet::new(),
@@ -172,8 +177,12 @@
         if inner.core.next_alarm().is_some_and(|at| at <= self.now()) {
             self.apply_in(&mut inner, Input::Tick);
         }
-        let link = inner.nodes.get_mut(&machine).filter(|l| l.life == life && l.address == address);
-        let Some(link) = link else { return Ok(None) };
+        let is_current = |l: &NodeLink| l.life == life && l.address == address;
+        if !inner.nodes.get(&machine).is_some_and(is_current) {
+            return Ok(None);
+        }
+        inner.hold_unheard(self.now(), machine);
+        let Some(link) = inner.nodes.get_mut(&machine) else { return Ok(None) };
         link.outbox.renew(self.now());
         let written = link.outbox.write(sink, left);
         for (job, attempt) in left.drain(..) {
@@ -210,8 +219,9 @@
                 self.write_set_up(now, machine, set_up);
             }
             Effect::GiveUp { machine, job } => {
+                let was_held = self.held.take_back(machine, job);
                 let Some(link) = self.nodes.get_mut(&machine) else { return };
-                if !link.outbox.take_back(job) {
+                if !was_held && !link.outbox.take_back(job) {
                     self.write_node(machine, node::stop(job, cause::OVER), Tag::Plain);
                 }
             }
--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -1,10 +1,12 @@
 //! The hub's side of the connections of clients: what waits to be written to each, which one makes room for another,
 //! and orphaned answers: ends of tasks whose client has no connection now.
 
+use super::held::HeldSetUp;
 use super::Inner;
 use crate::decide::limits::micros;
-use crate::placer::Seconds;
+use crate::placer::{MachineId, Seconds};
 use crate::state::Owner;
+use crate::wire::errors::is_shortage;
 use crate::wire::outbox::{Outbox, Tag};
 use std::collections::BTreeMap;
 use std::io;
@@ -26,6 +28,8 @@
 /// Seconds. So is one on which nothing is open and nothing stands: owners close theirs after 4 s.
 const IDLE_S: Seconds = 8.0;
 
+/// Seconds. What was read so long ago counts as read now.
+const HEARD_S: Seconds = 0.05;
 /// Seconds. An owner that has not read its last answer for so long never will.
 const UNREAD_S: Seconds = 5.0;
 
@@ -55,6 +59,8 @@
     opened: Seconds,
     /// When it last sent or was sent something of use.
     pub used: Seconds,
+    /// When nothing of it was unread last.
+    heard_at: Seconds,
     /// Something was said to its owner.
     told: bool,
     /// It is closed once nothing is open on it.
@@ -127,6 +133,7 @@
             ip,
             opened: now,
             used: now,
+            heard_at: now,
             told: false,
             expelled: false,
             closing: None,
@@ -192,6 +199,47 @@
         silent.then_some("nothing of use came on it").or(idle.then_some("it is idle"))
     }
 
+    /// Whether all that a client said has been read, its end included, up to a moment ago.
+    fn is_heard(&mut self, now: Seconds, client: u64) -> bool {
+        let Some(link) = self.owners.get_mut(&client) else { return true };
+        let Some(stream) = link.stream.as_ref().filter(|_| now - link.heard_at >= HEARD_S) else {
+            return true;
+        };
+        let is_heard = matches!(peek(stream), Err(error) if error.kind() == io::ErrorKind::WouldBlock || is_shortage(&error));
+        if is_heard {
+            link.heard_at = now;
+        }
+        is_heard
+    }
+
+    /// Holds back the set-ups for a machine whose clients said something that is not read: that may be their end.
+    pub(super) fn hold_unheard(&mut self, now: Seconds, machine: MachineId) {
+        let Some(link) = self.nodes.get(&machine) else { return };
+        let life = link.life;
+        for job in link.outbox.unsent().collect::<Vec<_>>() {
+            let Some(Owner::Link(client)) = self.core.job(job).map(|job| job.owner) else { continue };
+            if self.is_heard(now, client) {
+                continue;
+            }
+            let set_up = self.nodes.get_mut(&machine).and_then(|link| link.outbox.take_out(job));
+            if let Some(set_up) = set_up {
+                self.held.push(client, HeldSetUp { machine, life, set_up });
+            }
+        }
+    }
+
+    /// Nothing that a client said is unread: what was held back for it goes on, but for what it gave up.
+    pub fn client_heard(&mut self, now: Seconds, client: u64) {
+        if let Some(link) = self.owners.get_mut(&client) {
+            link.heard_at = now;
+        }
+        for HeldSetUp { machine, life, set_up } in self.held.take(client) {
+            if self.nodes.get(&machine).is_some_and(|link| link.life == life) {
+                self.write_set_up(now, machine, set_up);
+            }
+        }
+    }
+
     /// Answers a connection directly.
     pub fn say(&mut self, now: Seconds, link: u64, bytes: Vec<u8>) {
         if let Some(link) = self.owners.get_mut(&link) {
--- a/src/wire/outbox.rs
+++ b/src/wire/outbox.rs
@@ -112,8 +112,23 @@
 
     /// Whether a set-up waits of which nothing has left.
     pub fn has_set_up(&self) -> bool {
+        self.unsent().next().is_some()
+    }
+
+    /// The set-ups that wait and have not begun to leave.
+    pub fn unsent(&self) -> impl Iterator<Item = RequestId> + '_ {
         let begun = usize::from(self.written > 0);
-        self.parcels.iter().skip(begun).any(|p| matches!(p.tag, Tag::Launch(..)))
+        self.parcels.iter().skip(begun).filter_map(|p| p.set_up.as_ref()).map(|(set_up, _)| set_up.job)
+    }
+
+    /// Takes a set-up out that has not begun to leave.
+    pub fn take_out(&mut self, job: RequestId) -> Option<SetUp> {
+        let begun = usize::from(self.written > 0);
+        let is_it = |p: &Parcel| p.set_up.as_ref().is_some_and(|(set_up, _)| set_up.job == job);
+        let at = self.parcels.iter().skip(begun).position(is_it)?;
+        let parcel = self.parcels.remove(begun + at)?;
+        self.bytes -= parcel.bytes.len();
+        parcel.set_up.map(|(set_up, _)| set_up)
     }
 
     /// Has the set-ups that wait and have not begun to leave tell what is left of their time now.
@@ -133,16 +148,7 @@
 
     /// Takes a set-up back; false where its first byte has left.
     pub fn take_back(&mut self, job: RequestId) -> bool {
-        let first = usize::from(self.written > 0);
-        let is_it = |p: &Parcel| matches!(p.tag, Tag::Launch(j, _) if j == job);
-        match self.parcels.iter().skip(first).position(is_it) {
-            Some(at) => {
-                let parcel = self.parcels.remove(first + at);
-                self.bytes -= parcel.map_or(0, |p| p.bytes.len());
-                true
-            }
-            None => false,
-        }
+        self.take_out(job).is_some()
     }
 
     /// Writes what it can of what waits, before the connection is ended; what a set-up has begun is left half.
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -190,7 +190,10 @@
                 turn.whole += whole;
                 turn.bad += bad;
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                hub.lock().client_heard(hub.now(), id);
+                break;
+            }
             Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
             // The socket is as readable as before.
             Err(error) if is_shortage(&error) => break,
