--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -18,6 +18,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::OnceLock;
 use std::time::Duration;
 
 /// Far longer than anything takes: it only ends a test that hangs.
@@ -88,6 +89,11 @@
     }
 
     pub fn start_with(config: Value, rest: Option<&str>) -> Planner {
+        Planner::start_in(config, rest, &[])
+    }
+
+    /// One with these variables in its environment.
+    pub fn start_in(config: Value, rest: Option<&str>, variables: &[(&str, String)]) -> Planner {
         let path = unused_path("config.json");
         std::fs::write(&path, config.to_string()).expect("a configuration");
         // The descriptors that the configuration grants are all that the system grants.
@@ -98,6 +104,7 @@
             .arg(env!("CARGO_BIN_EXE_burlhook"))
             .args(["serve", "--config"])
             .arg(&path)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped());
         let operators = rest.map(|rest| {
             let file = unused_path("operators.json5");
@@ -175,6 +182,30 @@
     }
 }
 
+/// Variables with which the system calls of a planner fail: one in so many, and one in so many reads and writes is short;
+/// none where that is 0.
+pub fn faults(seed: u64, one_in: u64, short_one_in: u64) -> Vec<(&'static str, String)> {
+    static SHIM: OnceLock<PathBuf> = OnceLock::new();
+    let shim = SHIM.get_or_init(|| {
+        let (source, library) =
+            (concat!(env!("CARGO_MANIFEST_DIR"), "/tests/shim/faults.c"), unused_path("faults.so"));
+        let built = Command::new("cc")
+            .args(["-shared", "-fPIC", "-O1", "-o"])
+            .arg(&library)
+            .arg(source)
+            .arg("-ldl")
+            .status();
+        assert!(built.expect("a C compiler, as the linker needs one").success());
+        library
+    });
+    vec![
+        ("LD_PRELOAD", shim.display().to_string()),
+        ("FAULTS_SEED", seed.to_string()),
+        ("FAULTS_ONE_IN", one_in.to_string()),
+        ("FAULTS_SHORT_ONE_IN", short_one_in.to_string()),
+    ]
+}
+
 /// One end of a connection.
 pub struct Wire {
     pub stream: TcpStream,
--- /dev/null
+++ b/tests/shim/faults.c
@@ -0,0 +1,105 @@
+/* Loaded into a planner (LD_PRELOAD): system calls on sockets fail now and then as Linux documents, and reads and writes
+   are short. FAULTS_SEED seeds the draws; one call in FAULTS_ONE_IN fails, one in FAULTS_SHORT_ONE_IN is short, and none
+   where it is 0. */
+#define _GNU_SOURCE
+#include <dlfcn.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+static uint64_t state;
+static uint64_t one_in, short_one_in;
+
+static uint64_t number_in(const char *name) {
+    const char *text = getenv(name);
+    return text ? strtoull(text, 0, 10) : 0;
+}
+
+__attribute__((constructor)) static void start(void) {
+    state = number_in("FAULTS_SEED") * 0x9e3779b97f4a7c15ull + 1;
+    one_in = number_in("FAULTS_ONE_IN");
+    short_one_in = number_in("FAULTS_SHORT_ONE_IN");
+}
+
+/* A xorshift step; the planner has one thread that does I/O. */
+static uint64_t draw(void) {
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return state;
+}
+
+static int fails(void) { return one_in && draw() % one_in == 0; }
+
+static int is_short(void) { return short_one_in && draw() % short_one_in == 0; }
+
+static int fail_with(const int *codes, int count) {
+    errno = codes[draw() % count];
+    return -1;
+}
+
+static int is_stream(int fd) {
+    int type = 0;
+    socklen_t length = sizeof type;
+    if (getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &length) != 0 || type != SOCK_STREAM)
+        return 0;
+    struct sockaddr_in address;
+    length = sizeof address;
+    return getsockname(fd, (struct sockaddr *)&address, &length) == 0 && address.sin_family == AF_INET;
+}
+
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+static const int READ_ERRORS[] = {EINTR, EINTR, ENOMEM, ENOBUFS};
+static const int WRITE_ERRORS[] = {EINTR, EINTR, ENOBUFS, ENOMEM};
+static const int ACCEPT_ERRORS[] = {ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EINTR};
+static const int CONNECT_ERRORS[] = {EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EINTR};
+
+ssize_t recv(int fd, void *bytes, size_t count, int flags) {
+    if (is_stream(fd) && fails())
+        return fail_with(READ_ERRORS, 4);
+    if (is_stream(fd) && count > 1 && is_short())
+        count = 1 + draw() % (count < 64 ? count - 1 : 64);
+    return REAL(recv)(fd, bytes, count, flags);
+}
+
+ssize_t read(int fd, void *bytes, size_t count) {
+    if (is_stream(fd) && fails())
+        return fail_with(READ_ERRORS, 4);
+    if (is_stream(fd) && count > 1 && is_short())
+        count = 1 + draw() % (count < 64 ? count - 1 : 64);
+    return REAL(read)(fd, bytes, count);
+}
+
+ssize_t writev(int fd, const struct iovec *parts, int count) {
+    if (is_stream(fd) && fails())
+        return fail_with(WRITE_ERRORS, 4);
+    if (is_stream(fd) && parts[0].iov_len > 1 && is_short()) {
+        struct iovec one = {parts[0].iov_base, 1 + draw() % (parts[0].iov_len - 1)};
+        return REAL(writev)(fd, &one, 1);
+    }
+    return REAL(writev)(fd, parts, count);
+}
+
+ssize_t send(int fd, const void *bytes, size_t count, int flags) {
+    if (is_stream(fd) && fails())
+        return fail_with(WRITE_ERRORS, 4);
+    if (is_stream(fd) && count > 1 && is_short())
+        count = 1 + draw() % (count - 1);
+    return REAL(send)(fd, bytes, count, flags);
+}
+
+int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    if (is_stream(fd) && fails())
+        return fail_with(ACCEPT_ERRORS, 6);
+    return REAL(accept4)(fd, address, length, flags);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    if (is_stream(fd) && fails())
+        return fail_with(CONNECT_ERRORS, 5);
+    return REAL(connect)(fd, address, length);
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -2,7 +2,7 @@
 
 mod exchange;
 
-use exchange::{fill, instance, settings, short_box, stand_in, unescape, Planner, Wire};
+use exchange::{faults, fill, instance, protocol, settings, short_box, stand_in, unescape, Planner, Wire};
 use serde_json::json;
 use std::io::ErrorKind::{TimedOut, WouldBlock};
 use std::net::TcpListener;
@@ -272,3 +272,26 @@
     wires[first].stream.shutdown(std::net::Shutdown::Both).expect("it is up");
     wires[1 - first].line().expect("the set-up goes to the other");
 }
+
+/// Guards the list and requests against reads and writes that are short: what the system has still is read, and what it did not
+/// take is written.
+#[test]
+fn a_planner_whose_reads_and_writes_are_all_short_follows_the_list() {
+    let (list, list_address) = protocol::listener();
+    let (machine, address) = protocol::listener();
+    let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": []}}]});
+    let config =
+        json!({"listen": "127.0.0.1:0", "board": list_address, "known": known, "settings": settings()});
+    let planner = Planner::start_in(config, None, &faults(1, 0, 1));
+    let mut watch = protocol::accept(&list);
+    assert_eq!(watch.line().expect("watch N"), b"watch 1\n");
+    let instances: Vec<_> = (1..=20).map(|n| instance(&format!("b{n}"), &address, "terminating")).collect();
+    watch.send(&protocol::event(2, &instances));
+    watch.send(&protocol::event(3, &[instance("b1", &address, "in_service")]));
+    let mut link = protocol::accept(&machine);
+    let mut owner = Wire::connect(&planner.owners);
+    owner.send(&protocol::set_up(1, "stateless", 8000, &"x".repeat(2000)));
+    assert_eq!(protocol::told(&link.line().expect("a set-up")), ("launch".into(), 1));
+    link.send(&protocol::running(1));
+    assert_eq!(protocol::answered(&mut owner), Some((protocol::ANSWER, 1, None)));
+}
