--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -77,7 +77,7 @@
             let draws = draws_of(seed, 100 + 10 * number + client);
             all.push(spawn(move || client::run(&shared, &place, draws)));
         }
-        if seed % 3 == 0 {
+        if seed.is_multiple_of(3) {
             let (shared, place, draws) = (shared.clone(), place.clone(), draws_of(seed, 50 + number));
             all.push(spawn(move || crowd(&shared, &place, draws)));
         }
