Count a machine's start by this planner's own clock where the wall clock stepped

Cause: started of the list was compared with the planner's clock, which starts from the wall clock (rules.rs cold, attempts.rs is_cold, machines.rs notice). Change: decide/start_times takes a start that cannot be so, or any after this planner's own wall clock stepped, as of when it was heard, and another stamp as a later start; what a list tells again or from before counts as told. Not mended: a planner that starts while its wall clock is ahead takes old stamps of its configuration for older than they are.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,3 +8,4 @@
 pub mod shutdown;
 pub mod silence;
 pub mod spread;
+pub mod start_times;
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -5,11 +5,11 @@
 pub(crate) mod operators;
 
 use crate::decide::shutdown::{Step, Timeline};
-use crate::placer::{ListKind, Settings};
+use crate::placer::Settings;
 use crate::state::{Core, Input, Keep};
 use crate::vocabulary::{self, Vocabulary};
 use crate::wire::hub::Hub;
-use crate::wire::platform::Source;
+use crate::wire::platform::{Source, Telling};
 use crate::wire::{peers, platform, rest};
 use config::{Config, ConfigError};
 use operators::Operators;
@@ -244,7 +244,7 @@
         tokio::spawn(hub.clone().keep_time());
         tokio::spawn(platform::hold_links(hub.clone(), wanted, config.dial()));
         for (at, event) in config.known.notices.iter().enumerate() {
-            platform::take_in(&hub, event, (at == 0).then_some(ListKind::Persisted));
+            platform::take_in(&hub, event, if at == 0 { Telling::Kept } else { Telling::Earlier });
         }
         tokio::spawn(platform::follow(hub.clone(), self.board.subscribe(), config.known.rev));
         let bind = |e| ConfigError::Listen(config.listen.clone(), e);
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -20,8 +20,9 @@
 use crate::decide::budgets::Word;
 use crate::decide::fleet::Member;
 use crate::decide::links::Places;
+use crate::decide::start_times::{Heard, StartTimes};
 use crate::placer::*;
-use crate::state::{Core, Effect, Input, Owner, Refusal};
+use crate::state::{Core, Effect, Input, Notice, Owner, Refusal};
 use client_connections::Orphan;
 use clock::Clock;
 use held::Held;
@@ -55,6 +56,10 @@
     pub bounds: Bounds,
     /// The places for connections to boxes.
     pub places: Places,
+    /// When machines came up.
+    start_times: StartTimes,
+    /// The wall clock has stepped.
+    has_stepped: bool,
     connects: mpsc::UnboundedSender<(MachineId, u64)>,
     /// Set-ups that wait until their client is heard.
     held: Held,
@@ -90,6 +95,7 @@
     /// A hub, and the machines to which a connection is to be held.
     pub fn new(core: Core, bounds: Bounds) -> (Arc<Hub>, mpsc::UnboundedReceiver<(MachineId, u64)>) {
         let (connects, wanted) = mpsc::unbounded_channel();
+        let start_times = StartTimes::new(core.settings().warm_within_s);
         let inner = Inner {
             core,
             nodes: BTreeMap::new(),
@@ -99,6 +105,8 @@
             effects: Vec::new(),
             bounds,
             places: Places::new(bounds.links),
+            start_times,
+            has_stepped: false,
             connects,
             held: Held::default(),
             leaving: BTreeMap::new(),
@@ -163,6 +171,22 @@
         }
     }
 
+    /// Hands in what the list tells of machines; `is_live` where it was told as it happened.
+    pub fn apply_list(&self, inner: &mut Inner, kind: ListKind, mut notices: Vec<Notice>, is_live: bool) {
+        if !inner.has_stepped && self.clock.has_stepped() {
+            inner.has_stepped = true;
+            tracing::warn!("the wall clock stepped: machines count as started when that is heard");
+        }
+        let heard = Heard { now: self.now(), is_live, has_stepped: inner.has_stepped };
+        for Notice { entry, .. } in &mut notices {
+            entry.started = inner.start_times.take(entry.machine, entry.started, heard);
+            if entry.standing == Standing::Gone {
+                inner.start_times.forget(entry.machine);
+            }
+        }
+        self.apply_in(inner, Input::List { kind, notices });
+    }
+
     /// Writes what waits for a machine, as long as the link is that one, and tells how far it came. What left is
     /// booked also where the connection broke in the midst of it: it may have run.
     pub fn write_out(
--- a/src/wire/hub/clock.rs
+++ b/src/wire/hub/clock.rs
@@ -8,6 +8,9 @@
     Duration::try_from_secs_f64(span.max(0.0)).unwrap_or(Duration::MAX)
 }
 
+/// Seconds. A wall clock that is off by more has stepped.
+const STEP_S: Seconds = 0.25;
+
 /// The Unix clock, made steady: it starts from the system's and never goes back.
 pub struct Clock {
     unix: Seconds,
@@ -20,6 +23,12 @@
         Clock { unix, since: Instant::now() }
     }
 
+    /// Whether the system's wall clock has stepped since the program started.
+    pub fn has_stepped(&self) -> bool {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+        (unix - self.now()).abs() > STEP_S
+    }
+
     pub fn now(&self) -> Seconds {
         self.unix + self.since.elapsed().as_secs_f64()
     }
--- a/src/wire/platform/lists.rs
+++ b/src/wire/platform/lists.rs
@@ -3,7 +3,6 @@
 use super::board::{self, Event, Known, Line};
 use super::node::take_line;
 use crate::placer::ListKind;
-use crate::state::Input;
 use crate::wire::errors::is_transient;
 use crate::wire::hub::Hub;
 use crate::wire::read_buffers::READ_BYTES;
@@ -38,7 +37,7 @@
         let Source { address, known } = source.borrow_and_update().clone();
         // A new configuration may know of events that the old board never told.
         for event in known.notices.iter().filter(|event| event.rev > rev) {
-            take_in(&hub, event, None);
+            take_in(&hub, event, Telling::Earlier);
         }
         rev = rev.max(known.rev);
         let before = rev;
@@ -66,7 +65,7 @@
     let stream = timeout(DIAL, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
     timeout(SILENCE, write_all(&stream, &board::watch(*rev))).await??;
-    let mut buffer = BytesMut::new();
+    let (mut buffer, mut is_live) = (BytesMut::new(), false);
     // Bytes that never make a line are silence, too.
     let (mut silent_at, mut came) = (Instant::now() + SILENCE, 0);
     loop {
@@ -85,11 +84,13 @@
             match board::read(line) {
                 Ok(Line::Event(event)) if event.rev > *rev => {
                     *rev = event.rev;
-                    take_in(hub, &event, None);
+                    take_in(hub, &event, if is_live { Telling::Live } else { Telling::Earlier });
                 }
                 // It tells of more than it sent: what lies between was lost on the way.
                 Ok(Line::Beat(last)) if last > *rev => return Err(io::ErrorKind::InvalidData.into()),
-                Ok(_) => {}
+                // With the number that is known already it tells that nothing older is left.
+                Ok(Line::Beat(last)) => is_live |= last == *rev,
+                Ok(Line::Event(_)) => {}
                 // What it told is asked for again.
                 Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error.to_string())),
             }
@@ -126,9 +127,21 @@
     }
 }
 
+/// How an event came to be told now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Telling {
+    /// It is the list that the configuration kept.
+    Kept,
+    /// It happened before; how long ago is not known.
+    Earlier,
+    /// It happens now: the board told before that there was nothing older left to tell.
+    Live,
+}
+
 /// Hands an event in, as what it is or as the list that was kept.
-pub fn take_in(hub: &Hub, event: &Event, kind: Option<ListKind>) {
+pub fn take_in(hub: &Hub, event: &Event, telling: Telling) {
     let mut inner = hub.lock();
     let (told, notices) = event.notices(inner.core.words());
-    hub.apply_in(&mut inner, Input::List { kind: kind.unwrap_or(told), notices });
+    let kind = if telling == Telling::Kept { ListKind::Persisted } else { told };
+    hub.apply_list(&mut inner, kind, notices, telling == Telling::Live);
 }
--- a/src/wire/platform/mod.rs
+++ b/src/wire/platform/mod.rs
@@ -10,7 +10,7 @@
 pub mod owners;
 
 pub use boxes::hold_links;
-pub use lists::{follow, take_in, Source};
+pub use lists::{follow, take_in, Source, Telling};
 pub use owners::serve;
 
 #[cfg(test)]
