Log why each attempt ended, and count what is rare

Now each attempt's end has its line (outcome, reason, unheard), a list of many machines one line, and unheard attempts, unproved ends, held set-ups and requests cut short by a stop are counted, and logged at a reload and a stop.

--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -8,7 +8,7 @@
 use crate::placer::Settings;
 use crate::state::{Core, Input, Keep};
 use crate::vocabulary::{self, Vocabulary};
-use crate::wire::hub::Hub;
+use crate::wire::hub::{Counts, Hub};
 use crate::wire::platform::{Source, Telling};
 use crate::wire::{peers, platform, rest};
 use config::{Config, ConfigError};
@@ -146,6 +146,12 @@
     hub.apply(Input::GroupSettings(operators.groups.clone()));
 }
 
+/// Logs what befell attempts and their connections so far.
+fn log_counts(hub: &Hub) {
+    let Counts { unheard_attempts, unproved_ends, held_set_ups, cut_short } = hub.lock().counts;
+    tracing::info!(unheard_attempts, unproved_ends, held_set_ups, cut_short, "counts");
+}
+
 /// Has all other tasks take what has come for them by now, connections that nobody accepted yet included.
 async fn hear_arrived() {
     // The runtime looks at its sockets before it goes on here ...
@@ -171,12 +177,14 @@
                 _ = signals.interrupts.recv() => break,
                 _ = signals.hups.recv() => {
                     self.enter(Phase::Reloading);
+                    log_counts(&hub);
                     self.reload(&hub);
                     self.enter(Phase::Serving);
                 }
             }
         }
         self.drain(&hub, &mut signals).await;
+        log_counts(&hub);
         self.enter(Phase::Stopped);
         Ok(())
     }
--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -451,6 +451,7 @@
             Effect::Say { to, words } => self.say(to, &words, out),
             // What concerns the connections alone: a simulated one has no timer to set anew.
             Effect::Watch { .. } | Effect::Expel { .. } => {}
+            Effect::AttemptOver { .. } | Effect::CutShort { .. } => {}
             Effect::Subscribe | Effect::Changed | Effect::Log(_) => {}
         }
     }
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -162,6 +162,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (finished, unheard) = (job.phase != Phase::Pending, job.unheard);
         let last = !finished && (unheard || self.is_last(now, id));
+        let (machine, attempt) = (trial.machine, trial.attempt);
+        effects.push(Effect::AttemptOver { job: id, machine, attempt, outcome, why, unheard });
         self.changed(id, ChangeKind::Modified, effects);
         let (request, attempt, reason) = (id, trial.attempt, why);
         let end = End { request, attempt, outcome, reason, finished, last, report };
@@ -349,6 +351,9 @@
     pub(super) fn give_up_trial(&mut self, id: RequestId, effects: &mut Vec<Effect>) -> Option<Trial> {
         let trial = self.take_trial(id)?;
         let job = self.jobs.get_mut(&id)?;
+        let (machine, attempt, unheard) = (trial.machine, trial.attempt, job.unheard);
+        let (outcome, why) = (Outcome::Cancelled, Reason::Unknown);
+        effects.push(Effect::AttemptOver { job: id, machine, attempt, outcome, why, unheard });
         if trial.left {
             job.may_have_run(&trial);
         }
--- a/src/state/shutdown.rs
+++ b/src/state/shutdown.rs
@@ -24,6 +24,9 @@
         }
         let waits = self.jobs.iter().filter(|(_, job)| job.phase == Phase::Pending);
         let waits: Vec<(RequestId, Final)> = waits.map(|(&id, job)| (id, last_word(job))).collect();
+        if !waits.is_empty() {
+            effects.push(Effect::CutShort { requests: waits.len() as u64 });
+        }
         for (id, last) in waits {
             self.take_back(now, id, last, effects);
         }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -59,7 +59,8 @@
     fn tell(&mut self, input: Input) -> Vec<Effect> {
         let mut effects = Vec::new();
         self.core.apply(self.now, input, &mut effects);
-        effects.retain(|e| *e != Effect::Changed);
+        // What is for logs alone is not looked at here.
+        effects.retain(|e| !matches!(e, Effect::Changed | Effect::AttemptOver { .. }));
         effects
     }
 
--- a/src/state/words.rs
+++ b/src/state/words.rs
@@ -194,6 +194,17 @@
     /// The machine left the list: what waits for it is written, then its connection is ended, and [`Input::Departed`] tells
     /// of that.
     Disconnect { machine: MachineId, departure: DepartureId },
+    /// For logs and counts alone: an attempt is over for this planner, and why; unheard where a copy of it may be out.
+    AttemptOver {
+        job: RequestId,
+        machine: MachineId,
+        attempt: AttemptNo,
+        outcome: Outcome,
+        why: Reason,
+        unheard: bool,
+    },
+    /// For logs and counts alone: so many requests are answered now because the planner stops.
+    CutShort { requests: u64 },
     /// Final answer: the task stands.
     Placed { owner: Owner, job: RequestId, body: String },
     /// Final answer: refused; trying again is harmless.
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -3,12 +3,14 @@
 
 mod client_connections;
 mod clock;
+mod counts;
 mod datagrams;
 mod held;
 mod machine_connections;
 
 pub use client_connections::{is_unread, OwnerLink};
 pub use clock::seconds;
+pub use counts::Counts;
 pub use datagrams::DatagramCounts;
 pub use machine_connections::{Leaving, NodeLink};
 
@@ -77,6 +79,8 @@
     pub peers: Option<mpsc::Sender<(Member, Vec<Word>)>>,
     /// What came and went between planners.
     pub peer_counts: DatagramCounts,
+    /// What befell attempts and their connections.
+    pub counts: Counts,
 }
 
 /// Shared by all tasks.
@@ -116,6 +120,7 @@
             turned_away: None,
             peers: None,
             peer_counts: DatagramCounts::default(),
+            counts: Counts::default(),
         };
         let hub = Hub {
             inner: Mutex::new(inner),
@@ -303,6 +308,8 @@
                     let _ = peers.try_send((to, words));
                 }
             }
+            Effect::AttemptOver { unheard, .. } => self.counts.unheard_attempts += u64::from(unheard),
+            Effect::CutShort { requests } => self.counts.cut_short += requests,
             Effect::Subscribe | Effect::Changed => {}
             Effect::Log(line) => tracing::info!("{line}"),
         }
--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -223,6 +223,7 @@
             }
             let set_up = self.nodes.get_mut(&machine).and_then(|link| link.outbox.take_out(job));
             if let Some(set_up) = set_up {
+                self.counts.held_set_ups += 1;
                 self.held.push(client, HeldSetUp { machine, life, set_up });
             }
         }
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -168,6 +168,7 @@
                     if let Err(error) = &end {
                         tracing::debug!(machine = machine.0, %error, proved, "the connection to a box broke");
                     }
+                    self.hub.lock().counts.unproved_ends += u64::from(!proved);
                     if end.is_err() || !proved {
                         // What lies in the socket must not reach a box that comes back.
                         let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
--- a/src/wire/trail.rs
+++ b/src/wire/trail.rs
@@ -17,9 +17,11 @@
     let name = |machine: &MachineId| core.name(*machine);
     match input {
         Input::List { kind, notices } => {
-            for n in
-                notices.iter().filter(|n| *kind != ListKind::Changes || n.entry.standing != Standing::Ready)
-            {
+            // A whole list would push everything else out of a log of bounded size.
+            if *kind != ListKind::Changes {
+                tracing::debug!(target: TARGET, machines = notices.len(), ?kind, "whole list");
+            }
+            for n in notices.iter().filter(|n| n.entry.standing != Standing::Ready) {
                 let (e, at) = (&n.entry, &n.address);
                 let (machine, standing, started) = (name(&e.machine), e.standing, e.started);
                 tracing::debug!(target: TARGET, machine, ?standing, started, %at, ?kind, "list");
@@ -73,6 +75,10 @@
         Effect::GiveUp { machine, job } => {
             tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), "taken back");
         }
+        Effect::AttemptOver { job, machine, attempt, outcome, why, unheard } => {
+            let (job, machine) = (uid(*job), name(machine));
+            tracing::debug!(target: TARGET, job, machine, attempt, ?outcome, ?why, unheard, "attempt over");
+        }
         Effect::Disconnect { machine, departure } => {
             tracing::debug!(target: TARGET, machine = name(machine), departure, "disconnected");
         }
