--- a/tests/shim/faults.c
+++ b/tests/shim/faults.c
@@ -1,6 +1,7 @@
 /* Loaded into a planner (LD_PRELOAD): system calls on sockets fail now and then as Linux documents, and reads and writes
    are short. FAULTS_SEED seeds the draws; one call in FAULTS_ONE_IN fails, one in FAULTS_SHORT_ONE_IN is short, and none
-   where it is 0. */
+   where it is 0. Connections that the planner opened may die for good, too. The wall clock steps by FAULTS_STEP_MS once
+   FAULTS_STEP_AFTER_MS have passed. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -9,10 +10,31 @@
 #include <stdlib.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
+#include <time.h>
 #include <unistd.h>
 
 static uint64_t state;
 static uint64_t one_in, short_one_in;
+static int64_t step_ms, step_after_ms, started_ms;
+
+/* Whether the planner opened a connection, by its descriptor. */
+enum { MOST_DESCRIPTORS = 65536 };
+static char opened[MOST_DESCRIPTORS];
+
+#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
+
+static int64_t steady_ms(void) {
+    struct timespec now;
+    REAL(clock_gettime)(CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    int result = REAL(clock_gettime)(clock, now);
+    if (result == 0 && clock == CLOCK_REALTIME && step_ms && steady_ms() - started_ms >= step_after_ms)
+        now->tv_sec += step_ms / 1000;
+    return result;
+}
 
 static uint64_t number_in(const char *name) {
     const char *text = getenv(name);
@@ -23,6 +45,10 @@
     state = number_in("FAULTS_SEED") * 0x9e3779b97f4a7c15ull + 1;
     one_in = number_in("FAULTS_ONE_IN");
     short_one_in = number_in("FAULTS_SHORT_ONE_IN");
+    const char *step = getenv("FAULTS_STEP_MS");
+    step_ms = step ? strtoll(step, 0, 10) : 0;
+    step_after_ms = (int64_t)number_in("FAULTS_STEP_AFTER_MS");
+    started_ms = steady_ms();
 }
 
 /* A xorshift step; the planner has one thread that does I/O. */
@@ -37,6 +63,11 @@
 
 static int is_short(void) { return short_one_in && draw() % short_one_in == 0; }
 
+/* One failing read in so many is the death of a connection that the planner opened. */
+enum { DIES_ONE_IN = 4 };
+
+static int dies(int fd) { return fd < MOST_DESCRIPTORS && opened[fd] && draw() % DIES_ONE_IN == 0; }
+
 static int fail_with(const int *codes, int count) {
     errno = codes[draw() % count];
     return -1;
@@ -52,15 +83,15 @@
     return getsockname(fd, (struct sockaddr *)&address, &length) == 0 && address.sin_family == AF_INET;
 }
 
-#define REAL(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
 static const int READ_ERRORS[] = {EINTR, EINTR, ENOMEM, ENOBUFS};
+static const int DEATHS[] = {ETIMEDOUT, EHOSTUNREACH, ECONNRESET};
 static const int WRITE_ERRORS[] = {EINTR, EINTR, ENOBUFS, ENOMEM};
 static const int ACCEPT_ERRORS[] = {ECONNABORTED, ENFILE, EMFILE, ENOBUFS, ENOMEM, EINTR};
 static const int CONNECT_ERRORS[] = {EADDRNOTAVAIL, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT, EINTR};
 
 ssize_t recv(int fd, void *bytes, size_t count, int flags) {
     if (is_stream(fd) && fails())
-        return fail_with(READ_ERRORS, 4);
+        return dies(fd) ? fail_with(DEATHS, 3) : fail_with(READ_ERRORS, 4);
     if (is_stream(fd) && count > 1 && is_short())
         count = 1 + draw() % (count < 64 ? count - 1 : 64);
     return REAL(recv)(fd, bytes, count, flags);
@@ -68,7 +99,7 @@
 
 ssize_t read(int fd, void *bytes, size_t count) {
     if (is_stream(fd) && fails())
-        return fail_with(READ_ERRORS, 4);
+        return dies(fd) ? fail_with(DEATHS, 3) : fail_with(READ_ERRORS, 4);
     if (is_stream(fd) && count > 1 && is_short())
         count = 1 + draw() % (count < 64 ? count - 1 : 64);
     return REAL(read)(fd, bytes, count);
@@ -95,11 +126,16 @@
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
     if (is_stream(fd) && fails())
         return fail_with(ACCEPT_ERRORS, 6);
-    return REAL(accept4)(fd, address, length, flags);
+    int accepted = REAL(accept4)(fd, address, length, flags);
+    if (accepted >= 0 && accepted < MOST_DESCRIPTORS)
+        opened[accepted] = 0;
+    return accepted;
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     if (is_stream(fd) && fails())
         return fail_with(CONNECT_ERRORS, 5);
+    if (fd < MOST_DESCRIPTORS)
+        opened[fd] = 1;
     return REAL(connect)(fd, address, length);
 }
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -138,3 +138,27 @@
     assert!(matches!(answered(&mut client), Some((RELEASE, 1, _))), "it has an answer");
     assert!(planner.child.wait().expect("it ends").success());
 }
+
+/// Guards clients that connect while a planner stops: it takes no new connections any more well before it ends, and none
+/// is left in the line of those that nobody accepted.
+#[test]
+fn a_planner_that_stops_refuses_new_connections_before_it_ends() {
+    let (machine, address) = listener();
+    let mut planner = Planner::start_with(config(&address), None);
+    let mut link = accept(&machine);
+    let mut client = Wire::connect(&planner.owners);
+    client.send(&set_up(1, "stateless", 8000, "x"));
+    link.line().expect("a set-up");
+    planner.term();
+    let mut all = Vec::new();
+    while let Ok(stream) = std::net::TcpStream::connect(&planner.owners) {
+        all.push(Wire::new(stream));
+        std::thread::sleep(PACE);
+    }
+    client.stream.set_nonblocking(true).expect("it is set");
+    let answer = client.stream.peek(&mut [0]).map_err(|error| error.kind());
+    assert_eq!(answer, Err(ErrorKind::WouldBlock), "the planner is there for what it took");
+    client.stream.set_nonblocking(false).expect("it is set");
+    assert!(matches!(answered(&mut client), Some((RELEASE, 1, _))), "it has an answer");
+    assert!(planner.child.wait().expect("it ends").success());
+}
--- a/tests/soak/planners.rs
+++ b/tests/soak/planners.rs
@@ -14,6 +14,8 @@
 const EARLIEST_KILL: Duration = Duration::from_millis(1700);
 /// Count. On some seeds one system call of so many fails, and one read or write of so many is short.
 const ONE_IN: u64 = 200;
+/// Milliseconds. After so long the wall clock of a planner steps, where it does.
+const STEP_AFTER_MS: u64 = 700;
 /// Count. Descriptors of a planner: a crowd takes all that clients may have.
 const SOCKETS: u64 = 128;
 
@@ -23,10 +25,26 @@
     let limits = json!({"cores": 1.0, "memory_mb": 64, "sockets": SOCKETS});
     let config = json!({"listen": "127.0.0.1:0", "board": list, "known": known, "limits": limits,
         "settings": settings});
-    let variables = if seed % 4 == 1 { faults(seed, ONE_IN, ONE_IN) } else { Vec::new() };
+    let variables = match seed % 4 {
+        1 => faults(seed, ONE_IN, ONE_IN),
+        3 => stepping_clock(seed),
+        _ => Vec::new(),
+    };
     Planner::start_in(config, None, &variables)
 }
 
+/// The wall clock steps, back or ahead, by seconds or by an hour.
+fn stepping_clock(seed: u64) -> Vec<(&'static str, String)> {
+    let steps_ms = [-3_600_000, -5_000, 5_000, 3_600_000];
+    let step_ms = steps_ms[(seed / 4) as usize % steps_ms.len()];
+    let mut variables = faults(seed, 0, 0);
+    variables.extend([
+        ("FAULTS_STEP_MS", step_ms.to_string()),
+        ("FAULTS_STEP_AFTER_MS", STEP_AFTER_MS.to_string()),
+    ]);
+    variables
+}
+
 /// Signals in series, until the run is over.
 pub fn trouble(
     mut planner: Planner,
