Stop listening well before a planner that stops ends

Cause: a planner that stops listened to its end, and each new connection of a crowd, with something unread, kept it from being quiet until then (life, drain). Change: 0.9 s after the signal, or once all is answered, it takes what waits in line, by the system's own word, and closes its listener.

--- a/src/decide/shutdown/mod.rs
+++ b/src/decide/shutdown/mod.rs
@@ -54,6 +54,12 @@
         self.answers_by_s
     }
 
+    /// Whether new connections are taken so long after the signal: well before the planner ends, clients are to find that
+    /// nobody listens, and not to wait in line.
+    pub fn takes_connections(&self, elapsed_s: Seconds) -> bool {
+        elapsed_s < self.takes_on_s.min(self.answers_by_s)
+    }
+
     /// Has every request answered by now.
     pub fn hasten(&mut self, elapsed_s: Seconds) {
         self.answers_by_s = self.answers_by_s.min(elapsed_s);
--- a/src/decide/shutdown/tests.rs
+++ b/src/decide/shutdown/tests.rs
@@ -9,6 +9,7 @@
         assert!(times.answers_by_s() < earliest_kill - 0.2, "longest {longest}");
         assert_eq!(times.step(earliest_kill - 0.09, 0.0), Step::End, "longest {longest}");
         assert_eq!(times.step(times.answers_by_s(), 0.0), Step::EndIfQuiet, "longest {longest}");
+        assert!(!times.takes_connections(times.answers_by_s()), "longest {longest}");
     }
 }
 
@@ -16,6 +17,7 @@
 #[test]
 fn a_quiet_planner_stays_as_long_as_clients_may_come() {
     let times = Timeline::new(2.0);
+    assert!(times.takes_connections(0.8));
     assert_eq!(times.step(0.89, 0.89), Step::Wait);
     assert_eq!(times.step(0.91, 0.1), Step::Wait);
     assert_eq!(times.step(0.91, 0.2), Step::EndIfQuiet);
--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -308,8 +308,12 @@
         };
         let told_at = hub.now();
         hub.apply(Input::Draining { until: told_at + times.answers_by_s() });
-        let mut busy = since;
+        let (mut busy, mut listens) = (since, true);
         loop {
+            if listens && !times.takes_connections(since.elapsed().as_secs_f64()) {
+                listens = false;
+                hub.stop_listening.notify_one();
+            }
             if !hub.lock().is_quiet() {
                 busy = Instant::now();
             }
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -89,6 +89,8 @@
     clock: Clock,
     /// What the connections of machines are read into.
     pub read_buffers: ReadBuffers,
+    /// The planner stops, and takes no new connections from now on.
+    pub stop_listening: Notify,
     /// The next alarm may have come nearer.
     pub alarm: Notify,
     /// Counts changes that watchers may want to read.
@@ -126,6 +128,7 @@
             inner: Mutex::new(inner),
             clock: Clock::new(),
             read_buffers: ReadBuffers::default(),
+            stop_listening: Notify::new(),
             alarm: Notify::new(),
             changes: watch::Sender::new(0),
         };
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -22,6 +22,8 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Wait after a failed accept, such as for want of descriptors.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Count. Failed accepts of connections that wait as a planner stops to listen.
+const MOST_ACCEPT_TRIES: u32 = 100;
 /// Time between looks at whether a connection is of use still.
 const LOOK: Duration = Duration::from_millis(250);
 /// A message that is not whole so long after its first byte never will be.
@@ -32,20 +34,16 @@
 /// Count. Messages that cannot be used after which a connection is closed.
 const MOST_FAULTS: u32 = 16;
 
-/// Accepts owners for as long as the program runs. One that finds no place is closed at once, so that it need not wait.
+/// Accepts owners until the planner that stops takes no more. One that finds no place is closed at once, so that it need not
+/// wait.
 pub async fn serve(hub: Arc<Hub>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((stream, peer)) => {
-                let place = hub.lock().open_owner(hub.now(), peer.ip());
-                if let Some((id, wake)) = place {
-                    let stream = Arc::new(stream);
-                    if let Some(link) = hub.lock().owners.get_mut(&id) {
-                        link.stream = Some(stream.clone());
-                    }
-                    tokio::spawn(connection(hub.clone(), stream, peer, id, wake));
-                }
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = hub.stop_listening.notified() => break,
+        };
+        match accepted {
+            Ok((stream, peer)) => take(&hub, stream, peer),
             Err(error) if is_shortage(&error) => {
                 // Most likely no descriptor is left: one that is of no use is given back.
                 tracing::debug!(%error, "cannot accept");
@@ -59,6 +57,44 @@
             }
         }
     }
+    if let Err(error) = take_waiting(&hub, &listener).await {
+        tracing::debug!(%error, "cannot accept what waits");
+    }
+}
+
+/// Serves an owner's new connection, where there is a place for it.
+fn take(hub: &Arc<Hub>, stream: TcpStream, peer: SocketAddr) {
+    let mut inner = hub.lock();
+    let Some((id, wake)) = inner.open_owner(hub.now(), peer.ip()) else { return };
+    let stream = Arc::new(stream);
+    if let Some(link) = inner.owners.get_mut(&id) {
+        link.stream = Some(stream.clone());
+    }
+    tokio::spawn(connection(hub.clone(), stream, peer, id, wake));
+}
+
+/// Takes the connections that nobody has accepted yet, as the system has them: what was sent on them is taken.
+async fn take_waiting(hub: &Arc<Hub>, listener: &TcpListener) -> io::Result<()> {
+    let mut tries = 0;
+    loop {
+        match socket2::SockRef::from(listener).accept() {
+            Ok((socket, peer)) => {
+                socket.set_nonblocking(true)?;
+                let peer = peer.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+                take(hub, TcpStream::from_std(socket.into())?, peer);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if tries >= MOST_ACCEPT_TRIES => return Err(error),
+            Err(error) => {
+                tries += 1;
+                if is_shortage(&error) {
+                    hub.lock().make_room();
+                    // The task that has the descriptor gives it back.
+                    tokio::task::yield_now().await;
+                }
+            }
+        }
+    }
 }
 
 async fn connection(hub: Arc<Hub>, stream: Arc<TcpStream>, peer: SocketAddr, id: u64, wake: Arc<Notify>) {
