End with no log between the last look and the sockets' end, and wait for the rest of a request

Cause: is_quiet knew nothing of a message under way, and the logs of the stop stood between the last look at the sockets and the process's end (life). Change: a message of which a part came within 0.1 s is waited for; the runtime and its sockets end first, then the log.

--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -97,7 +97,13 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let board = watch::Sender::new(config.source());
     let mut life = Life { phase: Phase::Starting, config, operators, board };
-    runtime.map_err(ConfigError::Runtime)?.block_on(life.live())
+    let runtime = runtime.map_err(ConfigError::Runtime)?;
+    let counts = runtime.block_on(life.live())?;
+    // Between the last look at the sockets and their end nothing is waited for, a log neither.
+    drop(runtime);
+    log_counts(counts);
+    life.enter(Phase::Stopped);
+    Ok(())
 }
 
 /// Looks the files over without serving them; gives what is worth a word.
@@ -147,8 +153,8 @@
 }
 
 /// Logs what befell attempts and their connections so far.
-fn log_counts(hub: &Hub) {
-    let Counts { unheard_attempts, unproved_ends, held_set_ups, cut_short } = hub.lock().counts;
+fn log_counts(counts: Counts) {
+    let Counts { unheard_attempts, unproved_ends, held_set_ups, cut_short } = counts;
     tracing::info!(unheard_attempts, unproved_ends, held_set_ups, cut_short, "counts");
 }
 
@@ -166,7 +172,7 @@
         self.phase = phase;
     }
 
-    async fn live(&mut self) -> Result<(), ConfigError> {
+    async fn live(&mut self) -> Result<Counts, ConfigError> {
         let mut signals = Signals::new().map_err(ConfigError::Runtime)?;
         let hub = self.start().await?;
         self.let_go_of_known();
@@ -177,16 +183,15 @@
                 _ = signals.interrupts.recv() => break,
                 _ = signals.hups.recv() => {
                     self.enter(Phase::Reloading);
-                    log_counts(&hub);
+                    log_counts(hub.lock().counts);
                     self.reload(&hub);
                     self.enter(Phase::Serving);
                 }
             }
         }
         self.drain(&hub, &mut signals).await;
-        log_counts(&hub);
-        self.enter(Phase::Stopped);
-        Ok(())
+        let counts = hub.lock().counts;
+        Ok(counts)
     }
 
     /// Reads both files anew; each is taken or refused alone, and one that cannot be used changes nothing. Of the
@@ -314,7 +319,7 @@
                 listens = false;
                 hub.stop_listening.notify_one();
             }
-            if !hub.lock().is_quiet() {
+            if !hub.lock().is_quiet(hub.now()) {
                 busy = Instant::now();
             }
             match times.step(since.elapsed().as_secs_f64(), busy.elapsed().as_secs_f64()) {
@@ -322,7 +327,7 @@
                 Step::EndIfQuiet => {
                     // After a pause of the process this may be the first to run.
                     hear_arrived().await;
-                    if hub.lock().is_quiet() {
+                    if hub.lock().is_quiet(hub.now()) {
                         return;
                     }
                     busy = Instant::now();
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -325,9 +325,8 @@
     }
 
     /// Whether nothing waits to be answered or written to an owner, and nothing that they sent waits to be read.
-    pub fn is_quiet(&self) -> bool {
-        let unread = |l: &OwnerLink| l.stream.as_ref().is_some_and(|s| is_unread(s));
-        self.core.pending() == 0 && self.owners.values().all(|l| l.outbox.is_empty() && !unread(l))
+    pub fn is_quiet(&self, now: Seconds) -> bool {
+        self.core.pending() == 0 && self.owners.values().all(|link| link.is_quiet(now))
     }
 }
 
--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -28,6 +28,8 @@
 /// Seconds. So is one on which nothing is open and nothing stands: owners close theirs after 4 s.
 const IDLE_S: Seconds = 8.0;
 
+/// Seconds. The rest of a message comes within so long of what came of it before, where it comes at all.
+const REST_S: Seconds = 0.1;
 /// Seconds. What was read so long ago counts as read now.
 const HEARD_S: Seconds = 0.05;
 /// Seconds. An owner that has not read its last answer for so long never will.
@@ -59,6 +61,8 @@
     opened: Seconds,
     /// When it last sent or was sent something of use.
     pub used: Seconds,
+    /// When the last byte came of a message that is not whole.
+    pub half_at: Option<Seconds>,
     /// When nothing of it was unread last.
     heard_at: Seconds,
     /// Something was said to its owner.
@@ -70,6 +74,13 @@
 }
 
 impl OwnerLink {
+    /// Whether nothing waits to be written or read on it, and no message is under way.
+    pub(super) fn is_quiet(&self, now: Seconds) -> bool {
+        let is_unread = self.stream.as_ref().is_some_and(|s| is_unread(s));
+        let is_under_way = self.half_at.is_some_and(|at| now - at < REST_S);
+        self.outbox.is_empty() && !is_unread && !is_under_way
+    }
+
     pub(super) fn push(&mut self, bytes: Vec<u8>, now: Seconds) {
         self.push_as(bytes, now, Tag::Plain);
     }
@@ -133,6 +144,7 @@
             ip,
             opened: now,
             used: now,
+            half_at: None,
             heard_at: now,
             told: false,
             expelled: false,
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -203,3 +203,15 @@
     hub.write_out((name, life, "a:1"), &machine, &mut Vec::new()).expect("nothing fails");
     assert!(machine.0.borrow().is_empty(), "an attempt began after its client's end was heard");
 }
+
+/// Guards a request that has begun to come while its planner stops: the rest of it is waited for, though not for long.
+#[test]
+fn a_planner_that_has_half_a_request_is_not_quiet() {
+    let hub = hub(9);
+    let mut inner = hub.lock();
+    let client = open(&mut inner, 100.0).expect("a place");
+    assert!(inner.is_quiet(100.0));
+    inner.owners.get_mut(&client).expect("a link").half_at = Some(100.0);
+    assert!(!inner.is_quiet(100.09));
+    assert!(inner.is_quiet(100.2));
+}
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -183,6 +183,9 @@
                         false if whole > 0 => Some(Instant::now()),
                         false => half_since.or_else(|| Some(Instant::now())),
                     };
+                    if let Some(link) = hub.lock().owners.get_mut(&id) {
+                        link.half_at = (!buffer.is_empty()).then(|| hub.now());
+                    }
                     if buffer.is_empty() {
                         buffer = BytesMut::new(); // Idle connections keep no memory.
                     }
