--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -35,9 +35,12 @@
 /// Seconds. An owner that has not read its last answer for so long never will.
 const UNREAD_S: Seconds = 5.0;
 
-/// Whether bytes have come on a connection that nobody has read yet.
+/// Whether bytes have come on a connection that nobody has read yet; also where the system cannot tell now.
 pub fn is_unread(stream: &TcpStream) -> bool {
-    matches!(peek(stream), Ok(1..))
+    match peek(stream) {
+        Ok(count) => count > 0,
+        Err(error) => is_shortage(&error),
+    }
 }
 
 /// How many bytes have come, up to one; none at the end of the connection.
