Take no word of a dial to a machine that left for one that is back under its name

By reading: a dial that began before a machine left the list told DialRefused or DialFailed by its name after it, which would end what stands at a machine that came back under that name meanwhile. No test shows it: the crossing needs a name to leave and come back within one dial.

--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -133,6 +133,9 @@
                 Some(stream) => Dialled::Up(stream),
                 None => dial(address.clone(), self.dial).await,
             };
+            if !matches!(dialled, Dialled::Up(_)) && self.address().is_none() {
+                break; // What the dial says is of a machine that left, and no word of one that is back under its name.
+            }
             let short = matches!(dialled, Dialled::Short);
             match dialled {
                 Dialled::Up(stream) => {
