Count a request's time from when it may have come, not from when it was read

Cause: owners.rs took the time of the read. Change: wire/hub/turns.rs notes when the runtime's thread waits and wakes; what is read in a turn that began without a wait may have come since the turn before began, though never before its connection was read to the end. A pause of the whole process is not seen by this.

--- a/src/life/mod.rs
+++ b/src/life/mod.rs
@@ -8,7 +8,7 @@
 use crate::placer::Settings;
 use crate::state::{Core, Input, Keep};
 use crate::vocabulary::{self, Vocabulary};
-use crate::wire::hub::{Counts, Hub};
+use crate::wire::hub::{Counts, Hub, Turns};
 use crate::wire::platform::{Source, Telling};
 use crate::wire::{peers, platform, rest};
 use config::{Config, ConfigError};
@@ -62,6 +62,8 @@
     operators: Option<Operators>,
     /// Where the notice board is; a reload moves it.
     board: watch::Sender<Source>,
+    /// The turns of the runtime's thread.
+    turns: Arc<Turns>,
 }
 
 /// The signals that the program heeds from its first moment on.
@@ -94,9 +96,15 @@
 pub fn serve(config: Option<PathBuf>, operators: Option<PathBuf>) -> Result<(), ConfigError> {
     let config = Config::load(config)?;
     let operators = operators.map(|path| operators_of(&config, &path)).transpose()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let turns = Arc::new(Turns::default());
+    let (parks, unparks) = (turns.clone(), turns.clone());
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .on_thread_park(move || parks.park())
+        .on_thread_unpark(move || unparks.unpark())
+        .build();
     let board = watch::Sender::new(config.source());
-    let mut life = Life { phase: Phase::Starting, config, operators, board };
+    let mut life = Life { phase: Phase::Starting, config, operators, board, turns };
     let runtime = runtime.map_err(ConfigError::Runtime)?;
     let counts = runtime.block_on(life.live())?;
     // Between the last look at the sockets and their end nothing is waited for, a log neither.
@@ -246,7 +254,7 @@
     async fn start(&self) -> Result<Arc<Hub>, ConfigError> {
         let config = &self.config;
         let core = core_of(config, self.operators.as_ref())?;
-        let (hub, wanted) = Hub::new(core, config.limits.bounds());
+        let (hub, wanted) = Hub::new(core, config.limits.bounds(), self.turns.clone());
         if let Some(operators) = &self.operators {
             for told in &operators.told {
                 tracing::warn!("{told}");
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -7,12 +7,14 @@
 mod datagrams;
 mod held;
 mod machine_connections;
+mod turns;
 
 pub use client_connections::{is_unread, OwnerLink};
 pub use clock::seconds;
 pub use counts::Counts;
 pub use datagrams::DatagramCounts;
 pub use machine_connections::{Leaving, NodeLink};
+pub use turns::Turns;
 
 use super::outbox::{Sink, Tag, Written};
 use super::platform::node::{self, cause, SetUp};
@@ -87,6 +89,7 @@
 pub struct Hub {
     inner: Mutex<Inner>,
     clock: Clock,
+    turns: Arc<Turns>,
     /// What the connections of machines are read into.
     pub read_buffers: ReadBuffers,
     /// The planner stops, and takes no new connections from now on.
@@ -99,7 +102,11 @@
 
 impl Hub {
     /// A hub, and the machines to which a connection is to be held.
-    pub fn new(core: Core, bounds: Bounds) -> (Arc<Hub>, mpsc::UnboundedReceiver<(MachineId, u64)>) {
+    pub fn new(
+        core: Core,
+        bounds: Bounds,
+        turns: Arc<Turns>,
+    ) -> (Arc<Hub>, mpsc::UnboundedReceiver<(MachineId, u64)>) {
         let (connects, wanted) = mpsc::unbounded_channel();
         let start_times = StartTimes::new(core.settings().warm_within_s);
         let inner = Inner {
@@ -127,6 +134,7 @@
         let hub = Hub {
             inner: Mutex::new(inner),
             clock: Clock::new(),
+            turns,
             read_buffers: ReadBuffers::default(),
             stop_listening: Notify::new(),
             alarm: Notify::new(),
@@ -139,6 +147,14 @@
         self.clock.now()
     }
 
+    /// The earliest time at which what is read now of a client may have come, as far as is known.
+    pub fn came_at(&self, inner: &Inner, client: u64) -> Seconds {
+        let now = self.now();
+        let heard_at = inner.owners.get(&client).map_or(now, |link| link.heard_at);
+        let unread_since = self.turns.unread_for().map_or(now, |unread_s| now - unread_s);
+        unread_since.max(heard_at).min(now)
+    }
+
     /// The planner's seed, new with each start.
     pub fn seed(&self) -> u64 {
         self.lock().core.seed()
--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -67,7 +67,7 @@
     /// When the last byte came of a message that is not whole.
     pub half_at: Option<Seconds>,
     /// When nothing of it was unread last.
-    heard_at: Seconds,
+    pub(super) heard_at: Seconds,
     /// Something was said to its owner.
     told: bool,
     /// It is closed once nothing is open on it.
--- a/src/wire/hub/machine_connections/tests.rs
+++ b/src/wire/hub/machine_connections/tests.rs
@@ -1,6 +1,7 @@
 //! What wakes a machine's connection for a look: each thing that a look may find, when it begins, and nothing else.
 
 use super::*;
+use std::sync::Arc;
 use crate::placer::*;
 use crate::state::tests::core;
 use crate::state::{Ask, Effect, Input, Notice, Owner, Spec};
@@ -9,7 +10,7 @@
 /// A hub with machines at so many places, each with a connection that is wanted.
 fn hub(machines: u32, places: usize) -> Arc<Hub> {
     let bounds = Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: places };
-    let (hub, _wanted) = Hub::new(core("repeatable"), bounds);
+    let (hub, _wanted) = Hub::new(core("repeatable"), bounds, Arc::default());
     let notice = |n: u32| {
         let (machine, key) = (MachineId(n), MachineKey(u64::from(n)));
         let (zone, cell, free) = (ZoneId(0), CellId(0), Room { cores: 9.0, memory: 18.0 });
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 fn hub(owners: usize) -> Arc<Hub> {
-    Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64, links: 9 }).0
+    Hub::new(core("repeatable"), Bounds { owners, owner_queue: 64, box_queue: 64, links: 9 }, Arc::default())
+        .0
 }
 
 fn open(inner: &mut Inner, now: Seconds) -> Option<u64> {
@@ -26,8 +27,11 @@
 
 /// A hub with a machine and a job that is queued for it; the job's owner waits so long.
 fn offered(effect: &str, patience_s: Seconds) -> (Arc<Hub>, MachineId, u64) {
-    let (hub, _wanted) =
-        Hub::new(core(effect), Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: 9 });
+    let (hub, _wanted) = Hub::new(
+        core(effect),
+        Bounds { owners: 9, owner_queue: 4096, box_queue: 4096, links: 9 },
+        Arc::default(),
+    );
     let name = hub.lock().core.words().machine("b");
     let entry = Entry {
         machine: name,
@@ -215,3 +219,25 @@
     assert!(!inner.is_quiet(100.09));
     assert!(inner.is_quiet(100.2));
 }
+
+/// Guards servers against a request that lay unread while its planner was at work: its time counts from when it may have come,
+/// and never from before its connection was read to the end.
+#[test]
+fn a_request_that_lay_unread_counts_from_when_it_may_have_come() {
+    let hub = hub(9);
+    let mut inner = hub.lock();
+    let client = open(&mut inner, hub.now()).expect("a place");
+    let link =
+        |inner: &mut Inner, heard_at| inner.owners.get_mut(&client).expect("a link").heard_at = heard_at;
+    link(&mut inner, 0.0);
+    assert!(hub.now() - hub.came_at(&inner, client) < 0.1, "no turn is known");
+    hub.turns.unpark();
+    hub.turns.park();
+    hub.turns.unpark();
+    std::thread::sleep(Duration::from_millis(120));
+    let age = hub.now() - hub.came_at(&inner, client);
+    assert!(age >= 0.12, "it counts from {age} s ago");
+    let now = hub.now();
+    link(&mut inner, now);
+    assert!(hub.came_at(&inner, client) >= now);
+}
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -271,7 +271,8 @@
     let now = hub.now();
     match message.kind {
         kind::SET_UP => {
-            let input = request(&mut inner.core, now, id, message)?;
+            let came_at = hub.came_at(inner, id);
+            let input = request(&mut inner.core, came_at, id, message)?;
             if let Some(link) = inner.owners.get_mut(&id) {
                 link.used = now;
             }
