Have the stop's test client book every answer that came in one read

Traced by reading: the client took one answer a read, and answers that had come in the same read stayed in its buffer to the end, uncounted, where they came in bursts. The check is as it was; the client now takes all that it has read.

--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -251,9 +251,12 @@
     }
 
     pub fn frame(&mut self) -> Option<Vec<u8>> {
-        self.fill(|b| {
-            b.get(..2).map(|l| 2 + usize::from(u16::from_be_bytes([l[0], l[1]]))).filter(|&l| l <= b.len())
-        })
+        self.fill(frame_length)
+    }
+
+    /// Whether a whole frame has been read already.
+    pub fn has_frame(&self) -> bool {
+        frame_length(&self.bytes).is_some()
     }
 
     /// Sends `METHOD PATH KEY BODY`, of which key (`-` for none) and body may be absent.
@@ -308,6 +311,12 @@
     }
 }
 
+/// The length of the frame that stands first, once it is whole.
+fn frame_length(bytes: &[u8]) -> Option<usize> {
+    let length = bytes.get(..2).map(|l| 2 + usize::from(u16::from_be_bytes([l[0], l[1]])))?;
+    (length <= bytes.len()).then_some(length)
+}
+
 /// Bytes as text.
 pub fn escape(bytes: &[u8]) -> String {
     let one = |&b: &u8| match b {
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -25,6 +25,20 @@
     was_reset: bool,
 }
 
+impl Told {
+    /// Books the next answer, and all that came with it.
+    fn hear(&mut self, client: &mut Wire) {
+        loop {
+            if let Some((ANSWER | RELEASE, task, _)) = answered(client) {
+                self.answered.insert(task);
+            }
+            if !client.has_frame() {
+                return;
+            }
+        }
+    }
+}
+
 /// Sends requests until the connection ends; each is sent only while no end of the connection is known.
 fn send_until_the_end(mut client: Wire, first: u64, wait_ms: u32) -> Told {
     let mut told = Told { sent: BTreeSet::new(), answered: BTreeSet::new(), was_reset: false };
@@ -39,11 +53,7 @@
             client.stream.set_read_timeout(Some(PACE)).expect("a time-out");
             match client.stream.peek(&mut [0]) {
                 Ok(0) => return told,
-                Ok(_) => {
-                    if let Some((ANSWER | RELEASE, task, _)) = answered(&mut client) {
-                        told.answered.insert(task);
-                    }
-                }
+                Ok(_) => told.hear(&mut client),
                 Err(error) if error.kind() == ErrorKind::ConnectionReset => {
                     told.was_reset = true;
                     return told;
