--- a/src/wire/arrived.rs
+++ b/src/wire/arrived.rs
@@ -1,7 +1,8 @@
 //! What has come on a connection, asked of the system itself: the runtime knows only what there was when it last looked, and
 //! after a pause of the process it acts on its timers and on what came in any order.
 
-use super::errors::is_shortage;
+use super::errors::{is_shortage, is_transient};
+use super::read_buffers::READ_BYTES;
 use bytes::BytesMut;
 use std::io::{self, Read};
 use tokio::net::TcpStream;
@@ -44,5 +45,19 @@
     Reached::Open
 }
 
+/// Waits for what comes and reads some of it, at least a byte; nothing at the end. Unlike the runtime's own way it takes no
+/// short read for a sign that no more has come.
+pub async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
+    loop {
+        stream.readable().await?;
+        buffer.reserve(READ_BYTES);
+        match stream.try_read_buf(buffer) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if is_transient(&error) => tokio::task::yield_now().await,
+            read => return read,
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -239,7 +239,7 @@
             let set_up = self.nodes.get_mut(&machine).and_then(|link| link.outbox.take_out(job));
             if let Some(set_up) = set_up {
                 self.counts.held_set_ups += 1;
-                self.held.push(client, HeldSetUp { machine, life, set_up });
+                self.held.push(HeldSetUp { client, machine, life, set_up });
             }
         }
     }
@@ -249,7 +249,7 @@
         if let Some(link) = self.owners.get_mut(&client) {
             link.heard_at = now;
         }
-        for HeldSetUp { machine, life, set_up } in self.held.take(client) {
+        for HeldSetUp { machine, life, set_up, .. } in self.held.take(client) {
             if self.nodes.get(&machine).is_some_and(|link| link.life == life) {
                 self.write_set_up(now, machine, set_up);
             }
--- a/src/wire/hub/clock.rs
+++ b/src/wire/hub/clock.rs
@@ -11,6 +11,11 @@
 /// Seconds. A wall clock that is off by more has stepped.
 const STEP_S: Seconds = 0.25;
 
+/// The system's wall clock, in seconds since 1970.
+fn wall_clock() -> Seconds {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
+}
+
 /// The Unix clock, made steady: it starts from the system's and never goes back.
 pub struct Clock {
     unix: Seconds,
@@ -19,14 +24,12 @@
 
 impl Clock {
     pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
-        Clock { unix, since: Instant::now() }
+        Clock { unix: wall_clock(), since: Instant::now() }
     }
 
     /// Whether the system's wall clock has stepped since the program started.
     pub fn has_stepped(&self) -> bool {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
-        (unix - self.now()).abs() > STEP_S
+        (wall_clock() - self.now()).abs() > STEP_S
     }
 
     pub fn now(&self) -> Seconds {
--- a/src/wire/hub/held.rs
+++ b/src/wire/hub/held.rs
@@ -2,40 +2,42 @@
 
 use crate::placer::{MachineId, RequestId};
 use crate::wire::platform::node::SetUp;
-use std::collections::BTreeMap;
 
-/// A set-up that is held back, and the connection that it waits for.
+/// A set-up that is held back, the connection that it waits for, and that of its client.
 pub(super) struct HeldSetUp {
+    pub client: u64,
     pub machine: MachineId,
     pub life: u64,
     pub set_up: SetUp,
 }
 
-/// All that is held back, by the connections of their clients.
+/// All that is held back; seldom more than a few.
 #[derive(Default)]
 pub(super) struct Held {
-    by_client: BTreeMap<u64, Vec<HeldSetUp>>,
+    all: Vec<HeldSetUp>,
 }
 
 impl Held {
-    pub fn push(&mut self, client: u64, held: HeldSetUp) {
-        self.by_client.entry(client).or_default().push(held);
+    pub fn push(&mut self, held: HeldSetUp) {
+        self.all.push(held);
     }
 
     /// Takes a set-up back; false where it is not held.
     pub fn take_back(&mut self, machine: MachineId, job: RequestId) -> bool {
         let is_it = |held: &HeldSetUp| held.machine == machine && held.set_up.job == job;
-        for of_client in self.by_client.values_mut() {
-            if let Some(at) = of_client.iter().position(is_it) {
-                of_client.remove(at);
-                return true;
-            }
-        }
-        false
+        let before = self.all.len();
+        self.all.retain(|held| !is_it(held));
+        self.all.len() < before
     }
 
-    /// What was held back for a client that is heard now.
+    /// What was held back for a client that is heard now, in the order in which it was.
     pub fn take(&mut self, client: u64) -> Vec<HeldSetUp> {
-        self.by_client.remove(&client).unwrap_or_default()
+        let (of_client, others) =
+            std::mem::take(&mut self.all).into_iter().partition(|held| held.client == client);
+        self.all = others;
+        of_client
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/wire/platform/boxes.rs
+++ b/src/wire/platform/boxes.rs
@@ -4,7 +4,7 @@
 mod end;
 
 use self::dial::{dial, DialBeside, Dialled, Dialling};
-use self::end::End;
+use self::end::{half_close, End};
 use super::node::{self, take_line, Says, PROOF};
 use crate::decide::links::{Need, VISIT_S};
 use crate::decide::silence::looks::{Looks, LOOK_EVERY_S};
@@ -432,22 +432,9 @@
 
     /// Takes what its box says on a connection beside the one in use, until the box ends it.
     async fn hear_out(self, stream: TcpStream, mut buffer: BytesMut) {
-        let end = async {
-            // Nothing is open on it: the box sends what it owes, and closes.
-            socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Write)?;
-            loop {
-                stream.readable().await?;
-                buffer.reserve(READ_BYTES);
-                match stream.try_read_buf(&mut buffer) {
-                    Ok(0) => return Ok(()),
-                    Ok(_) => _ = self.hear(&mut buffer)?,
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                    Err(error) if is_transient(&error) => {}
-                    Err(error) => return Err(error),
-                }
-            }
-        };
-        let end: Result<io::Result<()>, _> = timeout(HEAR_OUT, end).await;
+        // Nothing is open on it: the box sends what it owes, and closes.
+        let end = half_close(&stream, &mut buffer, |buffer| self.hear(buffer).map(drop));
+        let end = timeout(HEAR_OUT, end).await;
         tracing::debug!(machine = self.machine.0, ?end, "the former connection to a box ended");
     }
 
--- a/src/wire/platform/boxes/end.rs
+++ b/src/wire/platform/boxes/end.rs
@@ -1,8 +1,8 @@
 //! The end of a connection to a machine, and what it proves: what was open on it is given up once the machine has ended it,
 //! too. A connection that only this planner has ended may not be heard of where the network is cut.
 
-use super::{Link, READ_BYTES};
-use crate::wire::errors::is_transient;
+use super::Link;
+use crate::wire::arrived::read_some;
 use bytes::BytesMut;
 use std::io::{self, ErrorKind};
 use std::net::Shutdown;
@@ -55,13 +55,26 @@
     }
 }
 
+/// Ends a connection from this side, and has what comes heard until its machine has ended it, too, or it cannot be heard.
+pub async fn half_close(
+    stream: &TcpStream,
+    buffer: &mut BytesMut,
+    mut hear: impl FnMut(&mut BytesMut) -> io::Result<()>,
+) -> io::Result<()> {
+    socket2::SockRef::from(stream).shutdown(Shutdown::Write)?;
+    while read_some(stream, buffer).await? > 0 {
+        hear(buffer)?;
+    }
+    Ok(())
+}
+
 impl Link {
     /// Brings a connection to its end; tells whether its machine has ended it, too, which shows that it gave up what was
     /// open on it.
     pub(super) async fn bring_to_end(
         &self,
         stream: &TcpStream,
-        buffer: BytesMut,
+        mut buffer: BytesMut,
         end: &io::Result<End>,
     ) -> bool {
         let far_end = match end {
@@ -77,32 +90,18 @@
             return true; // Nothing is open on it.
         }
         // What follows a line that cannot be read is of no use.
-        let is_spoilt = matches!(end, Err(error) if error.kind() == ErrorKind::InvalidData);
-        let ended = self.end_and_wait(stream, (!is_spoilt).then_some(buffer));
-        timeout(MACHINE_ENDS, ended).await.unwrap_or(false)
-    }
-
-    /// Ends a connection from this side, and waits until its machine has, too; hears what comes until then where there is a
-    /// buffer for it.
-    async fn end_and_wait(&self, stream: &TcpStream, mut heard: Option<BytesMut>) -> bool {
-        if socket2::SockRef::from(stream).shutdown(Shutdown::Write).is_err() {
-            return false;
-        }
-        let mut unused = BytesMut::new();
-        loop {
-            if stream.readable().await.is_err() {
-                return false;
+        let mut is_heard = !matches!(end, Err(error) if error.kind() == ErrorKind::InvalidData);
+        let hear = |buffer: &mut BytesMut| {
+            is_heard = is_heard && self.hear(buffer).is_ok();
+            if !is_heard {
+                buffer.clear();
             }
-            let buffer = heard.as_mut().unwrap_or(&mut unused);
-            buffer.reserve(READ_BYTES);
-            match stream.try_read_buf(buffer) {
-                Ok(0) => return true,
-                Ok(_) => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock || is_transient(&error) => {}
-                Err(error) => return FarEnd::after(&error) == FarEnd::Ended,
-            }
-            unused.clear();
-            heard = heard.and_then(|mut buffer| self.hear(&mut buffer).is_ok().then_some(buffer));
+            Ok(())
+        };
+        match timeout(MACHINE_ENDS, half_close(stream, &mut buffer, hear)).await {
+            Ok(Ok(())) => true,
+            Ok(Err(error)) => FarEnd::after(&error) == FarEnd::Ended,
+            Err(_) => false,
         }
     }
 
--- a/src/wire/platform/lists.rs
+++ b/src/wire/platform/lists.rs
@@ -3,9 +3,9 @@
 use super::board::{self, Event, Known, Line};
 use super::node::take_line;
 use crate::placer::ListKind;
+use crate::wire::arrived::read_some;
 use crate::wire::errors::is_transient;
 use crate::wire::hub::Hub;
-use crate::wire::read_buffers::READ_BYTES;
 use bytes::{Buf, BytesMut};
 use std::io;
 use std::sync::Arc;
@@ -114,19 +114,6 @@
     Ok(())
 }
 
-/// Reads what has come, at least a byte; nothing at the end. A short read is no sign that no more has come.
-async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
-    loop {
-        stream.readable().await?;
-        buffer.reserve(READ_BYTES);
-        match stream.try_read_buf(buffer) {
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(error) if is_transient(&error) => tokio::task::yield_now().await,
-            read => return read,
-        }
-    }
-}
-
 /// How an event came to be told now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Telling {
