--- a/tests/exchange/mod.rs
+++ b/tests/exchange/mod.rs
@@ -52,6 +52,12 @@
         "lifecycle": state, "weight": 1, "startedAtMs": 0, "free": [30.0, 60.0]})
 }
 
+/// A configuration that knows these machines, with the machine list at that address.
+pub fn knows(instances: &[Value], list: Option<&str>) -> Value {
+    let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": instances}}]});
+    json!({"listen": "127.0.0.1:0", "board": list, "known": known, "settings": settings()})
+}
+
 /// A running planner; it ends with its value.
 pub struct Planner {
     pub child: Child,
@@ -312,7 +318,7 @@
 }
 
 /// The length of the frame that stands first, once it is whole.
-fn frame_length(bytes: &[u8]) -> Option<usize> {
+pub fn frame_length(bytes: &[u8]) -> Option<usize> {
     let length = bytes.get(..2).map(|l| 2 + usize::from(u16::from_be_bytes([l[0], l[1]])))?;
     (length <= bytes.len()).then_some(length)
 }
--- a/tests/exchange/protocol.rs
+++ b/tests/exchange/protocol.rs
@@ -2,7 +2,7 @@
 
 use super::Wire;
 use serde_json::{json, Value};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 /// Type of a client's message: the task stands.
@@ -110,17 +110,19 @@
     answers.take_while(|(kind, ..)| *kind != TESTED).collect()
 }
 
+/// An address as the system's table of sockets writes it.
+pub fn table_address(address: SocketAddr) -> String {
+    match address {
+        SocketAddr::V4(v4) => format!("{:08X}:{:04X}", u32::from_ne_bytes(v4.ip().octets()), v4.port()),
+        other => panic!("{other} is not IPv4"),
+    }
+}
+
 /// Returns once the program at the other end has read all that was sent so far, by the system's table of sockets: what
 /// is sent next comes to it as another piece.
 pub fn wait_until_read(stream: &TcpStream) {
-    let row = |here: std::net::SocketAddr| match here {
-        std::net::SocketAddr::V4(v4) => {
-            format!("{:08X}:{:04X}", u32::from_ne_bytes(v4.ip().octets()), v4.port())
-        }
-        other => panic!("{other} is not IPv4"),
-    };
     let ends = (stream.peer_addr().expect("its peer"), stream.local_addr().expect("its address"));
-    let ends = format!(" {} {} ", row(ends.0), row(ends.1));
+    let ends = format!(" {} {} ", table_address(ends.0), table_address(ends.1));
     let since = Instant::now();
     loop {
         let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
--- a/tests/give_ups.rs
+++ b/tests/give_ups.rs
@@ -3,8 +3,10 @@
 
 mod exchange;
 
-use exchange::protocol::{accept, answered, event, give_up, listener, running, set_up, told, ANSWER};
-use exchange::{fill, instance, settings, short_box, Planner, Wire};
+use exchange::protocol::{
+    accept, answered, event, give_up, listener, running, set_up, table_address, told, ANSWER,
+};
+use exchange::{fill, instance, knows, short_box, Planner, Wire};
 use serde_json::{json, Value};
 use socket2::Socket;
 use std::net::{TcpListener, TcpStream};
@@ -23,8 +25,7 @@
 
 /// Whether a dial to an address has neither come up nor failed, by the system's table of sockets.
 fn dial_hangs(address: &str) -> bool {
-    let address: std::net::SocketAddrV4 = address.parse().expect("an address");
-    let remote = format!("{:08X}:{:04X}", u32::from_ne_bytes(address.ip().octets()), address.port());
+    let remote = table_address(address.parse().expect("an address"));
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the table of sockets");
     table.lines().any(|line| {
         let columns: Vec<&str> = line.split_whitespace().collect();
@@ -56,13 +57,8 @@
     fn start() -> HangingDial {
         let (machine_listener, address) = short_box();
         let (list_listener, list_address) = listener();
-        let mut settings = settings();
-        settings["permissions"]["dial_timeout_s"] = json!(DIAL_S);
-        let instances = [instance("b1", &address, "in_service")];
-        let known =
-            json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": instances}}]});
-        let config =
-            json!({"listen": "127.0.0.1:0", "board": list_address, "known": known, "settings": settings});
+        let mut config = knows(&[instance("b1", &address, "in_service")], Some(&list_address));
+        config["settings"]["permissions"]["dial_timeout_s"] = json!(DIAL_S);
         let planner = Planner::start_with(config, None);
         let mut machine = Wire::new(machine_listener.accept().expect("the planner connects").0.into());
         let mut list = accept(&list_listener);
--- a/tests/races.rs
+++ b/tests/races.rs
@@ -6,7 +6,7 @@
 use exchange::protocol::{
     accept, answered, close, event, give_up, listener, running, set_up, stop, test, told, ANSWER, RELEASE,
 };
-use exchange::{fill, instance, settings, short_box, unescape, Planner, Wire};
+use exchange::{fill, instance, knows, settings, short_box, unescape, Planner, Wire};
 use serde_json::{json, Value};
 use socket2::SockRef;
 use std::io::{Read, Write};
@@ -158,11 +158,8 @@
 fn what_came_in_a_pause_of_a_planner_that_drains_is_answered() {
     let (machine, address) = listener();
     // A planner may be killed by its settings' longest deadline: here it lives for the pause and what follows.
-    let mut settings = settings();
-    settings["grades"][0]["deadline_s"] = json!(3.0);
-    let instances = [instance("b1", &address, "in_service")];
-    let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": instances}}]});
-    let config = json!({"listen": "127.0.0.1:0", "known": known, "settings": settings});
+    let mut config = knows(&[instance("b1", &address, "in_service")], None);
+    config["settings"]["grades"][0]["deadline_s"] = json!(3.0);
     let mut planner = Planner::start_with(config, None);
     let mut link = accept(&machine);
     let mut client = Wire::connect(&planner.owners);
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -3,7 +3,7 @@
 mod exchange;
 
 use exchange::protocol::{accept, answered, listener, set_up, test, ANSWER, RELEASE};
-use exchange::{settings, Planner, Wire};
+use exchange::{Planner, Wire};
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
 use std::io::{ErrorKind, Write};
@@ -76,13 +76,11 @@
 }
 
 fn config(address: &str) -> Value {
-    let mut settings = settings();
-    for class in settings["grades"].as_array_mut().expect("classes") {
+    let mut config = exchange::knows(&[exchange::instance("b1", address, "in_service")], None);
+    for class in config["settings"]["grades"].as_array_mut().expect("classes") {
         class["deadline_s"] = json!(DEADLINE_S);
     }
-    let instances = [exchange::instance("b1", address, "in_service")];
-    let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": instances}}]});
-    json!({"listen": "127.0.0.1:0", "known": known, "settings": settings})
+    config
 }
 
 /// Returns once the planner's process has ended, or kills it when it may be killed; tells whether it ended by itself.
--- a/tests/soak/client.rs
+++ b/tests/soak/client.rs
@@ -1,5 +1,6 @@
 //! A client that sends requests on one connection after another, cancels some and leaves now and then.
 
+use crate::exchange::frame_length;
 use crate::exchange::protocol::{give_up, set_up, ANSWER, RELEASE};
 use crate::ledger::Ledger;
 use rand::Rng;
@@ -145,7 +146,7 @@
             }
             Err(_) => return Heard::End { is_reset: true },
         }
-        while let Some(length) = frame(&self.bytes) {
+        while let Some(length) = frame_length(&self.bytes) {
             let message: Vec<u8> = self.bytes.drain(..length).collect();
             let task = u64::from_be_bytes(message[3..11].try_into().expect("eight bytes"));
             // A release of what runs is no answer.
@@ -174,9 +175,3 @@
     }
     false
 }
-
-/// The length of the message that stands first, once it is whole.
-fn frame(bytes: &[u8]) -> Option<usize> {
-    let length = bytes.get(..2).map(|l| 2 + usize::from(u16::from_be_bytes([l[0], l[1]])))?;
-    (length <= bytes.len()).then_some(length)
-}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -2,7 +2,9 @@
 
 mod exchange;
 
-use exchange::{faults, fill, instance, protocol, settings, short_box, stand_in, unescape, Planner, Wire};
+use exchange::{
+    faults, fill, instance, knows, protocol, settings, short_box, stand_in, unescape, Planner, Wire,
+};
 use serde_json::json;
 use std::io::ErrorKind::{TimedOut, WouldBlock};
 use std::net::TcpListener;
@@ -279,10 +281,7 @@
 fn a_planner_whose_reads_and_writes_are_all_short_follows_the_list() {
     let (list, list_address) = protocol::listener();
     let (machine, address) = protocol::listener();
-    let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": []}}]});
-    let config =
-        json!({"listen": "127.0.0.1:0", "board": list_address, "known": known, "settings": settings()});
-    let planner = Planner::start_in(config, None, &faults(1, 0, 1));
+    let planner = Planner::start_in(knows(&[], Some(&list_address)), None, &faults(1, 0, 1));
     let mut watch = protocol::accept(&list);
     assert_eq!(watch.line().expect("watch N"), b"watch 1\n");
     let instances: Vec<_> =
--- a/tests/standing.rs
+++ b/tests/standing.rs
@@ -5,7 +5,7 @@
 mod exchange;
 
 use exchange::protocol::*;
-use exchange::{fill, instance, settings, short_box, Planner, Wire};
+use exchange::{fill, instance, knows, short_box, Planner, Wire};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpListener};
@@ -89,12 +89,6 @@
     (listener(), listener(), listener())
 }
 
-/// A configuration that knows these machines, with the machine list at that address.
-fn knows(instances: &[Value], list: Option<&str>) -> Value {
-    let known = json!({"rev": 1, "notices": [{"rev": 1, "pool": {"reset": true, "instances": instances}}]});
-    json!({"listen": "127.0.0.1:0", "board": list, "known": known, "settings": settings()})
-}
-
 /// Guards requests and answers that come in pieces: wherever they are cut, each is taken once it is whole, and once.
 #[test]
 fn a_request_in_pieces_is_one_request() {
