--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -1,4 +1,4 @@
-//! Case 1: a planner is killed outright and started again. Tasks that end while it is away are released by
+//! Case 1: one of three planners is killed outright and started again. Tasks that end while it is away are released by
 //! their boxes on the next connection, as the protocol says, and their owners hand them to the new process with
 //! `at` as soon as it has passed a test. Each such task has to be released towards its owner.
 
@@ -10,6 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 
+const PLANNERS: usize = 3;
 const BOXES: usize = 12;
 const TASKS: u64 = 96;
 /// The front asks the planner once a second whether it is up.
@@ -20,27 +21,46 @@
 /// Seconds that the judge adds for its own clock readings.
 const SPARE_S: f64 = 0.5;
 
+fn with(planner: Planner, mut others: Vec<Planner>) -> Vec<Planner> {
+    others.push(planner);
+    others
+}
+
 fn main() {
     let folder = std::env::var("TMPDIR").expect("TMPDIR");
     let record = Record::create(&std::env::var("RECORD").expect("RECORD"));
     // Each task starts within 150 ms and then runs for 4 to 12 s.
     let plan = Arc::new(|_: &Json| Plan { start_ms: 150, life_ms: 4000 + random() % 8000 });
     let machines: Vec<_> =
-        (0..BOXES).map(|n| Machine::start(&format!("s-{n:02}"), &record, 1, plan.clone())).collect();
+        (0..BOXES).map(|n| Machine::start(&format!("s-{n:02}"), &record, PLANNERS, plan.clone())).collect();
     let board = board();
-    let settings = settings(1, 0);
+    let all_settings: Vec<String> = (0..PLANNERS).map(|n| settings(PLANNERS as u32, n as u32)).collect();
     let listen: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
     let from = Ipv4Addr::new(127, 0, 0, 21);
-    let start = || Planner::start(&record, "n1", listen, &folder, board, (&machines, 0), &settings, "");
+    let start =
+        || Planner::start(&record, "n1", listen, &folder, board, (&machines, 0), &all_settings[0], "");
     let mut planner = start();
     if !planner.wait_until_listening() {
         finish(&record, vec![planner], 2, "the planner did not listen");
     }
+    // The other planners stay up and have no tasks here.
+    let mut others = Vec::new();
+    for n in 1..PLANNERS {
+        let listen: SocketAddr = format!("127.0.0.1:{}", free_port()).parse().unwrap();
+        let name = format!("n{}", n + 1);
+        let mut other =
+            Planner::start(&record, &name, listen, &folder, board, (&machines, n), &all_settings[n], "");
+        let listens = other.wait_until_listening();
+        others.push(other);
+        if !listens {
+            finish(&record, with(planner, others), 2, "a planner did not listen");
+        }
+    }
     sleep_ms(2000);
 
     // The owner's tasks: about 36 new ones a second.
     let Some(mut owner) = Client::connect(&record, "owner", from, listen) else {
-        finish(&record, vec![planner], 2, "no connection to the planner");
+        finish(&record, with(planner, others), 2, "no connection to the planner");
     };
     let tasks: Vec<(u64, &str, u64)> =
         (0..TASKS).map(|n| (random(), if n % 5 < 3 { "stateless" } else { "keyed" }, 0xa0 + n % 8)).collect();
@@ -76,7 +96,7 @@
             sleep_ms(TEST_EVERY_MS);
         }
         let Some(mut client) = taken else {
-            finish(&record, vec![planner], 2, "the new process passed no test")
+            finish(&record, with(planner, others), 2, "the new process passed no test")
         };
         // The set-ups of a start arrive as soon as the first test has been passed: all that stands as far as
         // its owner was told.
@@ -113,7 +133,7 @@
             break;
         }
         if record.now() > MOST_S as f64 - 15.0 {
-            finish(&record, vec![planner], 2, "tasks did not end in time");
+            finish(&record, with(planner, others), 2, "tasks did not end in time");
         }
     }
     seen.extend(owner.got());
@@ -148,11 +168,11 @@
         }
     }
     if ended < TASKS as usize / 2 {
-        finish(&record, vec![planner], 2, &format!("only {ended} tasks stood and ended"));
+        finish(&record, with(planner, others), 2, &format!("only {ended} tasks stood and ended"));
     }
     let why = format!(
         "{ended} tasks stood and ended; {unreleased} were never released ({told_new_process} of them ended after \
          the new process was started), {late} too late"
     );
-    finish(&record, vec![planner], i32::from(unreleased + late > 0), &why);
+    finish(&record, with(planner, others), i32::from(unreleased + late > 0), &why);
 }
