Move adoption into a module of its own, and the report of an end into a function

Cause: state/jobs.rs held adoption among six other duties, and the input of an end was decided inside the dispatch over inputs.

Change: state/adoption.rs has adoption and the time-out of an unlisted machine; Core::reported_end has the decision on an end. No behaviour changes.

--- /dev/null
+++ b/src/state/adoption.rs
@@ -0,0 +1,46 @@
+//! Adoption: an owner reports a task that already runs at a machine, after a restart of the planner or after a
+//! loss that turned out to be none.
+
+use super::*;
+
+/// Seconds. A running task counts as lost if the machine list has not named its machine within this time.
+const UNLISTED_TIMEOUT_S: Seconds = 2.5;
+
+impl Core {
+    /// Adopts a task that runs at a machine.
+    pub(super) fn adopt(
+        &mut self,
+        now: Seconds,
+        submission: JobSubmission,
+        machine: MachineId,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.jobs.contains_key(&submission.job) {
+            return; // The owner may report a task that is already known.
+        }
+        let (id, task, owner) = (submission.job, submission.task, submission.owner);
+        if self.jobs.len() - self.pending - self.over.len() >= self.bounds.standing {
+            return effects.push(Effect::Released { owner, job: id, outcome: Outcome::Lost });
+        }
+        self.add(now, submission, Phase::Running);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            (job.attempts, job.machine, job.placed_at) = (1, Some(machine), now);
+        }
+        match self.nodes.add_running(machine, id) {
+            RunningAdded::First => effects.push(Effect::Watch { machine }),
+            RunningAdded::BesideOthers => {}
+            // No end can be reported by a machine to which there is no connection.
+            RunningAdded::Unlisted => self.alarm(now + UNLISTED_TIMEOUT_S, Alarm::UnlistedTimeout(id)),
+        }
+        self.changed(id, ChangeKind::Added, effects);
+        self.feed_placer(now, Event::Resident { request: id, task, machine }, effects);
+    }
+
+    /// Ends an adopted task whose machine the list has still not named.
+    pub(super) fn unlisted_timed_out(&mut self, now: Seconds, id: RequestId, effects: &mut Vec<Effect>) {
+        let machine = self.jobs.get(&id).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
+        if machine.is_some_and(|machine| !self.nodes.contains(machine)) {
+            self.end_running_task(now, id, Outcome::Lost, Reason::Unknown, None, effects);
+        }
+    }
+}
--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -69,13 +69,7 @@
                     }
                 }
                 Alarm::ShutDown => self.answer_all(now, effects),
-                Alarm::UnlistedTimeout(job) => {
-                    let machine =
-                        self.jobs.get(&job).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
-                    if machine.is_some_and(|machine| !self.nodes.contains(machine)) {
-                        self.end_running_task(now, job, Outcome::Lost, Reason::Unknown, None, effects);
-                    }
-                }
+                Alarm::UnlistedTimeout(job) => self.unlisted_timed_out(now, job, effects),
                 Alarm::ForgetJob(job) => self.forget(job, effects),
                 Alarm::Group(group) => self.on_group_event(now, group, groups::Event::Tick, effects),
                 Alarm::ForgetGroup(group) => self.forget_group(group, effects),
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -145,6 +145,28 @@
         self.feed_placer(now, event, effects);
     }
 
+    /// Handles a machine's report that an attempt or a running task has ended; `before` is the outcome if the
+    /// task was not running yet, `after` the outcome if it was.
+    pub(super) fn reported_end(
+        &mut self,
+        now: Seconds,
+        (machine, id): (MachineId, RequestId),
+        (before, after): (Outcome, Outcome),
+        why: Reason,
+        report: Option<Report>,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.prove_gone(id, machine);
+        let Some(job) = self.jobs.get(&id) else { return };
+        // An attempt that is still queued, or whose preceding connection check is unanswered, cannot have been
+        // answered: the message belongs to an earlier attempt.
+        if job.open_attempt.is_some_and(|t| t.is_answered_by(machine)) {
+            self.end_attempt(now, id, before, why, report, effects);
+        } else if job.phase == Phase::Running && job.machine == Some(machine) {
+            self.end_running_task(now, id, after, why, report, effects);
+        }
+    }
+
     /// Ends the open attempt of a job with an outcome.
     pub(super) fn end_attempt(
         &mut self,
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -7,8 +7,6 @@
 /// Count. Pending jobs allowed on one client connection, so that no single client takes the memory that all
 /// share.
 pub(super) const MAX_PENDING_PER_LINK: usize = 1000;
-/// Seconds. A running task counts as lost if the machine list has not named its machine within this time.
-const UNLISTED_TIMEOUT_S: Seconds = 2.5;
 /// Seconds. A refusal this close to the deadline is reported as a missed deadline.
 const NEAR_DEADLINE_S: Seconds = 0.05;
 /// Seconds. Retry delay reported for a job that is refused without having been tried.
@@ -282,34 +280,6 @@
         }
     }
 
-    pub(super) fn adopt(
-        &mut self,
-        now: Seconds,
-        submission: JobSubmission,
-        machine: MachineId,
-        effects: &mut Vec<Effect>,
-    ) {
-        if self.jobs.contains_key(&submission.job) {
-            return; // The owner may report a task that is already known.
-        }
-        let (id, task, owner) = (submission.job, submission.task, submission.owner);
-        if self.jobs.len() - self.pending - self.over.len() >= self.bounds.standing {
-            return effects.push(Effect::Released { owner, job: id, outcome: Outcome::Lost });
-        }
-        self.add(now, submission, Phase::Running);
-        if let Some(job) = self.jobs.get_mut(&id) {
-            (job.attempts, job.machine, job.placed_at) = (1, Some(machine), now);
-        }
-        match self.nodes.add_running(machine, id) {
-            RunningAdded::First => effects.push(Effect::Watch { machine }),
-            RunningAdded::BesideOthers => {}
-            // No end can be reported by a machine to which there is no connection.
-            RunningAdded::Unlisted => self.alarm(now + UNLISTED_TIMEOUT_S, Alarm::UnlistedTimeout(id)),
-        }
-        self.changed(id, ChangeKind::Added, effects);
-        self.feed_placer(now, Event::Resident { request: id, task, machine }, effects);
-    }
-
     /// Drops the description of a running task that came on a platform connection; REST clients can still
     /// read theirs.
     pub(super) fn drop_description(&mut self, id: RequestId) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,6 +5,7 @@
 //! decides: one open attempt per job, no send to a draining machine, the repeat window, and exactly one final
 //! answer.
 
+mod adoption;
 mod alarms;
 mod attempts;
 mod departures;
@@ -244,15 +245,7 @@
             Input::Peer { from, messages } => self.handle_peer_messages(now, from, messages, effects),
             Input::LinkUp { machine } => self.resend_cuts(machine, effects),
             Input::Ended { machine, job, before, after, why, report } => {
-                self.prove_gone(job, machine);
-                let Some(known) = self.jobs.get(&job) else { return };
-                // An attempt that is still queued, or whose preceding connection check is unanswered, cannot
-                // have been answered: the message belongs to an earlier attempt.
-                if known.open_attempt.is_some_and(|t| t.is_answered_by(machine)) {
-                    self.end_attempt(now, job, before, why, report, effects);
-                } else if known.phase == Phase::Running && known.machine == Some(machine) {
-                    self.end_running_task(now, job, after, why, report, effects);
-                }
+                self.reported_end(now, (machine, job), (before, after), why, report, effects)
             }
             Input::FenceAnswered { machine, ask } => self.fence_answered(now, machine, ask, effects),
             Input::Noted { machine, job, note } => {
