--- a/src/state/adoption.rs
+++ b/src/state/adoption.rs
@@ -19,6 +19,10 @@
             return; // The owner may report a task that is already known.
         }
         let (id, task, owner) = (submission.job, submission.task, submission.owner);
+        if let Some(outcome) = self.unclaimed_ends.claim(now, (id, machine)) {
+            let outcome = outcome_for_owner(outcome);
+            return effects.push(Effect::Released { owner, job: id, outcome });
+        }
         if self.jobs.len() - self.pending - self.over.len() >= self.bounds.standing {
             return effects.push(Effect::Released { owner, job: id, outcome: Outcome::Lost });
         }
@@ -44,3 +48,12 @@
         }
     }
 }
+
+/// The outcome of a task that ended before its owner handed it over. An owner that hands a task over has not
+/// cancelled it, and must hear of its end.
+fn outcome_for_owner(reported: Outcome) -> Outcome {
+    match reported {
+        Outcome::Ok => Outcome::Ok,
+        _ => Outcome::Lost,
+    }
+}
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -157,7 +157,10 @@
         effects: &mut Vec<Effect>,
     ) {
         self.prove_gone(id, machine);
-        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.phase.is_over()) else {
+            // The machine does not repeat the report if the task's owner hands the task over later.
+            return self.unclaimed_ends.record(now, (id, machine), after, self.bounds.standing);
+        };
         // An attempt that is still queued, or whose preceding connection check is unanswered, cannot have been
         // answered: the message belongs to an earlier attempt.
         if job.open_attempt.is_some_and(|t| t.is_answered_by(machine)) {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -19,6 +19,7 @@
 mod machines;
 mod possible_copies;
 mod shutdown;
+mod unclaimed_ends;
 mod views;
 
 use alarms::Alarm;
@@ -36,6 +37,7 @@
 use limits::ActiveLimits;
 use machine_table::{MachineTable, Node, RunningAdded};
 use possible_copies::PossibleCopies;
+use unclaimed_ends::UnclaimedEnds;
 pub use views::{JobView, MachineView, Object};
 
 use crate::decide::limits::{Front, Limits, Rejection, Resolved, Subject, Table, Ticket};
@@ -82,6 +84,7 @@
     limits: ActiveLimits,
     groups: Groups,
     possible_copies: PossibleCopies,
+    unclaimed_ends: UnclaimedEnds,
     departures: Departures,
     /// Seconds. Time by which every request is answered; infinite unless the planner is shutting down.
     answers_by: Seconds,
@@ -120,6 +123,7 @@
             limits,
             groups: Groups::default(),
             possible_copies: PossibleCopies::default(),
+            unclaimed_ends: UnclaimedEnds::default(),
             departures: Departures::default(),
             answers_by: f64::INFINITY,
         })
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -1,5 +1,7 @@
 //! The guards of the reducer, each at its boundary, on a simulated clock.
 
+mod adoption;
+
 use super::jobs::{JOB_BYTES, MAX_PENDING_PER_LINK};
 use super::machines::CAUSE_CUT;
 use super::*;
@@ -92,6 +94,21 @@
         }))
     }
 
+    fn adopt(&mut self, job: u64, machine: u32) -> Vec<Effect> {
+        let task = Task {
+            class: 0,
+            tenant: None,
+            service: ServiceId(1),
+            room: Room { cores: 1.0, memory: 1.0 },
+            deadline: self.now,
+            expected_runtime_s: None,
+            limits: TaskLimits::default(),
+        };
+        let spec = Arc::new(Spec { class: "c".into(), ..Spec::default() });
+        let ask = JobSubmission { job: RequestId(job), owner: Owner::Link(1), spec, task };
+        self.apply_input(Input::Adopt { ask, machine: MachineId(machine) })
+    }
+
     fn sent(&mut self, job: u64, attempt: AttemptNo) {
         self.apply_input(Input::Sent { job: RequestId(job), attempt });
     }
@@ -238,25 +255,11 @@
 #[test]
 fn adopted_tasks_are_bounded() {
     let mut bench = Bench::new("repeatable");
-    let adopt = |bench: &mut Bench, job: u64, machine: u32| {
-        let task = Task {
-            class: 0,
-            tenant: None,
-            service: ServiceId(1),
-            room: Room { cores: 1.0, memory: 1.0 },
-            deadline: bench.now,
-            expected_runtime_s: None,
-            limits: TaskLimits::default(),
-        };
-        let spec = Arc::new(Spec { class: "c".into(), ..Spec::default() });
-        let ask = JobSubmission { job: RequestId(job), owner: Owner::Link(1), spec, task };
-        bench.apply_input(Input::Adopt { ask, machine: MachineId(machine) })
-    };
     let lost = |job| Effect::Released { owner: Owner::Link(1), job: RequestId(job), outcome: Outcome::Lost };
-    adopt(&mut bench, 1, 0);
-    adopt(&mut bench, 2, 99);
-    adopt(&mut bench, 3, 1);
-    assert_eq!(adopt(&mut bench, 4, 1), [lost(4)]);
+    bench.adopt(1, 0);
+    bench.adopt(2, 99);
+    bench.adopt(3, 1);
+    assert_eq!(bench.adopt(4, 1), [lost(4)]);
     assert_eq!(bench.tick_at(103.0), [lost(2)]);
     assert_eq!(bench.core.link_load(1), LinkLoad { open: 0, standing: 2 });
 }
--- /dev/null
+++ b/src/state/tests/adoption.rs
@@ -0,0 +1,58 @@
+//! Tasks that owners hand over: each is released exactly once, whatever the machine reported before.
+
+use super::*;
+
+fn released(job: u64, outcome: Outcome) -> Effect {
+    Effect::Released { owner: Owner::Link(1), job: RequestId(job), outcome }
+}
+
+impl Bench {
+    /// The machine reports the end of a running task.
+    fn end_running(&mut self, machine: u32, job: u64, after: Outcome) -> Vec<Effect> {
+        let (machine, before, why) = (MachineId(machine), Outcome::Lost, Reason::Unknown);
+        self.apply_input(Input::Ended { machine, job: RequestId(job), before, after, why, report: None })
+    }
+}
+
+/// Guards against a task that is never released because its machine reported the end to a restarted planner
+/// before the owner handed the task over.
+#[test]
+fn an_end_reported_before_the_adoption_is_released() {
+    for (after, outcome) in [
+        (Outcome::Ok, Outcome::Ok),
+        (Outcome::Lost, Outcome::Lost),
+        // The owner reports the task as running, so it has not cancelled it.
+        (Outcome::Cancelled, Outcome::Lost),
+    ] {
+        let mut bench = Bench::new("repeatable");
+        assert_eq!(bench.end_running(0, 1, after), [], "nobody to notify yet");
+        bench.now += 5.0;
+        assert_eq!(bench.adopt(1, 0), [released(1, outcome)]);
+        assert_eq!((bench.core.running_at(MachineId(0)), bench.core.pending()), (0, 0));
+    }
+}
+
+/// Guards against the same loss after a planner considered a machine lost: the end of a task that is no longer
+/// known is kept for the adoption, too.
+#[test]
+fn an_end_reported_between_a_loss_and_the_adoption_is_released() {
+    let mut bench = Bench::new("repeatable");
+    bench.core.bounds.over = 0;
+    bench.adopt(1, 0);
+    bench.apply_input(Input::MachineLost { machine: MachineId(0), proved: false });
+    bench.end_running(0, 1, Outcome::Ok);
+    bench.now += 3.0;
+    assert_eq!(bench.adopt(1, 0), [released(1, Outcome::Ok)]);
+}
+
+/// Guards running tasks against reports that are not about them: of another machine, or long past.
+#[test]
+fn an_end_elsewhere_or_long_ago_releases_nothing() {
+    let mut bench = Bench::new("repeatable");
+    bench.end_running(1, 1, Outcome::Ok);
+    assert!(!bench.adopt(1, 0).contains(&released(1, Outcome::Ok)), "it ended at another machine");
+    bench.end_running(0, 2, Outcome::Ok);
+    bench.now += 1000.0;
+    assert!(!bench.adopt(2, 0).contains(&released(2, Outcome::Ok)), "the report is too old");
+    assert_eq!(bench.core.running_at(MachineId(0)), 2);
+}
