Take back a handed-over task whose finished job is still kept for reading

What callers saw: with the REST front on, a task of the platform that was reported lost and handed over within the time for which finished jobs are kept was never released. Found by reading in the review; no case.

Cause: Core::adopt returned for every id in `jobs`, finished jobs included.

Change: the finished job of a platform connection is forgotten and the task is booked; the alarm that forgets the first job passes over one that runs again.

Result: a_finished_job_can_be_adopted failed before (0 running tasks, not 1) and passes; 50 tests of the reducer.

--- a/src/state/adoption.rs
+++ b/src/state/adoption.rs
@@ -15,8 +15,12 @@
         machine: MachineId,
         effects: &mut Vec<Effect>,
     ) {
-        if self.jobs.contains_key(&submission.job) {
-            return; // The owner may report a task that is already known.
+        if let Some(known) = self.jobs.get(&submission.job) {
+            let is_of_platform = matches!(known.owner, Owner::Link(_));
+            if !(known.phase.is_over() && is_of_platform) {
+                return; // The owner may report a task that is already known.
+            }
+            self.forget(submission.job, effects);
         }
         let (id, task, owner) = (submission.job, submission.task, submission.owner);
         if let Some(outcome) = self.unclaimed_ends.claim(now, (id, machine)) {
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -403,8 +403,12 @@
         }
     }
 
+    /// Removes a finished job; a job that runs again under the same id stays.
     pub(super) fn forget(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
         self.over.retain(|&other| other != id);
+        if self.jobs.get(&id).is_some_and(|job| !job.phase.is_over()) {
+            return;
+        }
         if self.jobs.contains_key(&id) {
             self.changed(id, ChangeKind::Deleted, effects);
         }
--- a/src/state/tests/adoption.rs
+++ b/src/state/tests/adoption.rs
@@ -56,3 +56,20 @@
     assert!(!bench.adopt(2, 0).contains(&released(2, Outcome::Ok)), "the report is too old");
     assert_eq!(bench.core.running_at(MachineId(0)), 2);
 }
+
+/// Guards against a task that is never released because a finished job with its id is still kept for reading:
+/// the owner was notified of a loss, found the task running and hands it over.
+#[test]
+fn a_finished_job_can_be_adopted() {
+    let mut bench = Bench::new("repeatable");
+    bench.adopt(1, 0);
+    bench.apply_input(Input::MachineLost { machine: MachineId(0), proved: false });
+    let lost_at = bench.now;
+    bench.now += 3.0;
+    bench.adopt(1, 0);
+    assert_eq!(bench.core.running_at(MachineId(0)), 1);
+    let kept_for = bench.core.bounds.over_s;
+    assert_eq!(bench.tick_at(lost_at + kept_for + 1.0), [], "the time for reading the first job is up");
+    assert_eq!(bench.core.running_at(MachineId(0)), 1);
+    assert_eq!(bench.end_running(0, 1, Outcome::Ok), [released(1, Outcome::Ok)]);
+}
