--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -9,7 +9,7 @@
 /// Count. Names of former machines that are kept before unused names are removed.
 const UNUSED_NAMES_KEPT: usize = 64;
 
-/// The cause code of an order to stop a task that counts as lost or whose group is stopped.
+/// The cause code of an order to stop a task of the REST front that counts as lost, or whose group is stopped.
 pub(super) const CAUSE_CUT: u8 = 41;
 
 impl Core {
@@ -141,13 +141,22 @@
         let old = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.placed_at < before);
         let lost: Vec<RequestId> = node.running.iter().copied().filter(old).collect();
         for job in lost {
-            // If the machine is only unreachable, its copy must not run on without the owner's knowledge.
-            effects.push(Effect::Stop { machine, job, cause: CAUSE_CUT });
+            if self.runs_unclaimed_after_loss(job) {
+                // If the machine is only unreachable, its copy must not run on without the owner's knowledge.
+                effects.push(Effect::Stop { machine, job, cause: CAUSE_CUT });
+            }
             self.record_possible_copy(job, machine);
             self.end_running_task(now, job, Outcome::Lost, Reason::Unknown, None, effects);
         }
     }
 
+    /// Whether nobody but this planner can end a task that counts as lost, if it runs on at its machine. The
+    /// platform looks for its lost tasks, and hands those that run to any planner: an order of this one would
+    /// stop a task that another planner has adopted.
+    fn runs_unclaimed_after_loss(&self, id: RequestId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| !matches!(job.owner, Owner::Link(_)))
+    }
+
     /// Handles a refused connection. Both a dead process and a draining one refuse connections. Tasks on a
     /// draining machine are kept until the list calls the machine gone, or until an unreported end would
     /// reach the owner too late.
--- a/src/state/tests/adoption.rs
+++ b/src/state/tests/adoption.rs
@@ -73,3 +73,29 @@
     assert_eq!(bench.core.running_at(MachineId(0)), 1);
     assert_eq!(bench.end_running(0, 1, Outcome::Ok), [released(1, Outcome::Ok)]);
 }
+
+fn orders(effects: &[Effect]) -> usize {
+    let is = |e: &&Effect| matches!(e, Effect::Stop { .. } | Effect::CancelAttempt { .. });
+    effects.iter().filter(is).count()
+}
+
+/// Guards a task that was lost and is handed over, to this planner or to another one, against an order to stop it
+/// that this planner left behind when it considered the machine lost.
+#[test]
+fn a_lost_task_of_the_platform_is_not_ordered_to_stop() {
+    let unreachable = Input::MachineLost { machine: MachineId(0), proved: false };
+    let restarted = Input::MachineLost { machine: MachineId(0), proved: true };
+    for loss in [unreachable, restarted] {
+        let mut bench = Bench::new("repeatable");
+        bench.adopt(1, 0);
+        let lost = bench.apply_input(loss);
+        assert!(lost.contains(&released(1, Outcome::Lost)));
+        assert_eq!(orders(&lost), 0);
+        assert_eq!(orders(&bench.apply_input(Input::LinkUp { machine: MachineId(0) })), 0);
+    }
+    let mut bench = Bench::new("repeatable");
+    bench.adopt(1, 0);
+    let unlisted = bench.list(&[(0, Standing::Gone)]);
+    assert!(unlisted.contains(&released(1, Outcome::Lost)));
+    assert_eq!(orders(&unlisted), 0);
+}
