Release an adopted task that an earlier cancellation of this planner cut

A planner gives an attempt up, its machine hears the cancellation only after the owner has found the task running and handed it over, cuts it and reports "cancelled" (31): the owner was not notified.

Cause: a report of "cancelled" counts as the owner's wish. An owner's stop order closes its job at once, so a report about a task that still runs here cannot be the answer to one.

--- a/src/state/possible_copies.rs
+++ b/src/state/possible_copies.rs
@@ -51,6 +51,11 @@
         order.retain(|job| machines.contains_key(job));
     }
 
+    /// Whether a copy of the job may still run at a machine.
+    pub fn may_run_at(&self, job: RequestId, machine: MachineId) -> bool {
+        self.machines.get(&job).is_some_and(|machines| machines.contains(&machine))
+    }
+
     /// Whether a copy of the job may still run.
     pub fn may_run(&self, job: RequestId) -> bool {
         self.machines.contains_key(&job)
--- a/src/state/tests/adoption.rs
+++ b/src/state/tests/adoption.rs
@@ -99,3 +99,27 @@
     assert!(unlisted.contains(&released(1, Outcome::Lost)));
     assert_eq!(orders(&unlisted), 0);
 }
+
+/// Guards an owner against a task that is cut without notice by the cancellation of an attempt: the planner gave
+/// the attempt up, the machine heard of it only after the owner had handed the task over.
+#[test]
+fn a_task_cut_by_an_earlier_cancellation_is_released() {
+    let mut bench = Bench::new("once");
+    let machine = launched(&bench.submit(1, None)).expect("a launch");
+    bench.sent(1, 0);
+    bench.apply_input(Input::OwnerFaulty { link: 1 });
+    assert!(bench.core.possible_copies.may_run(RequestId(1)));
+    bench.now += 3.0;
+    bench.adopt(1, machine.0);
+    assert_eq!(bench.end_running(machine.0, 1, Outcome::Cancelled), [released(1, Outcome::Lost)]);
+}
+
+/// Guards owners against a release that they are not owed: they stopped the task themselves.
+#[test]
+fn a_task_that_its_owner_stopped_is_not_released() {
+    let mut bench = Bench::new("repeatable");
+    bench.adopt(1, 0);
+    let stopped = bench.apply_input(Input::Cancel { job: RequestId(1), cause: 16 });
+    assert_eq!(orders(&stopped), 1);
+    assert_eq!(bench.end_running(0, 1, Outcome::Cancelled), []);
+}
