--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod budgets;
 pub mod fleet;
 pub mod groups;
+pub mod key_owners;
 pub mod limits;
 pub mod links;
 pub mod shutdown;
--- a/src/wire/rest/fleet.rs
+++ b/src/wire/rest/fleet.rs
@@ -1,58 +1,41 @@
-//! The planner that owns an idempotency key: rendezvous hashing over the configured planners.
+//! Sends requests under an idempotency key to the planner that owns the key.
 
+use super::answers::{self, Problem};
 use super::client::{self, Call};
-use super::objects::digest;
+use axum::http::{header, HeaderValue, Uri};
+use axum::response::Response;
+use serde_json::json;
 use std::time::Duration;
 
 /// The time within which the owner of a key must answer a health check.
 const HEALTH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// The planner that owns the key of a job.
-#[derive(Debug, PartialEq)]
-pub enum KeyOwner {
-    /// This planner.
-    This,
-    /// Another planner, by its URL.
-    Other(String),
-    /// Another planner that does not answer the health check, by its URL.
-    Unreachable(String),
-}
-
-/// The planners among which the keys are divided.
-pub struct Fleet {
-    planners: Vec<String>,
-    own: String,
-}
-
-impl Fleet {
-    pub fn new(planners: &[String], own: &str) -> Fleet {
-        let mut planners: Vec<String> =
-            planners.iter().map(|p| p.trim_end_matches('/').to_string()).collect();
-        planners.sort();
-        planners.dedup();
-        Fleet { planners, own: own.trim_end_matches('/').to_string() }
+/// Seconds. The retry delay in a response if the owner of a key cannot be reached.
+const UNREACHABLE_RETRY_S: f64 = 1.0;
+
+/// The response to a request whose keys another planner owns: a redirect to that planner, or `None` where
+/// `owner` is this planner (`own_url`) or there is no fleet. A key never moves to another planner because its
+/// owner is down: two planners that both own it could each send an attempt of the same job.
+///
+/// # Errors
+/// The owner does not answer the health check.
+pub async fn redirect_to(owner: Option<&str>, own_url: &str, uri: &Uri) -> Result<Option<Response>, Problem> {
+    let Some(owner) = owner.filter(|owner| *owner != own_url.trim_end_matches('/')) else {
+        return Ok(None);
+    };
+    if !is_up(owner).await {
+        let detail = format!("the key belongs to {owner}, which cannot be reached");
+        return Err(Problem::unavailable(&detail, UNREACHABLE_RETRY_S));
     }
-
-    /// The planner that owns a key: the one with the highest hash, which is the same at every planner.
-    pub fn owner(&self, class: &str, key: &str) -> Option<&str> {
-        let hash = |planner: &str| digest(format!("{planner}\n{class}\n{key}").as_bytes());
-        self.planners.iter().map(String::as_str).max_by_key(|planner| hash(planner))
-    }
-
-    /// Finds the planner to which a keyed job belongs. A key never moves to another planner because its owner
-    /// is down: two planners that both own it could each send an attempt of the same job.
-    pub async fn locate(&self, class: &str, key: &str) -> KeyOwner {
-        let Some(owner) = self.owner(class, key).filter(|owner| *owner != self.own) else {
-            return KeyOwner::This;
-        };
-        let health_check =
-            client::call(Call { method: "GET", url: format!("{owner}/healthz"), key: None, body: None });
-        match tokio::time::timeout(HEALTH_CHECK_TIMEOUT, health_check).await {
-            Ok(Ok(reply)) if reply.status == 200 => KeyOwner::Other(owner.to_string()),
-            _ => KeyOwner::Unreachable(owner.to_string()),
-        }
+    let location = format!("{owner}{}", uri.path_and_query().map_or(uri.path(), |path| path.as_str()));
+    let mut response = answers::json(307, &json!({"planner": owner}));
+    if let Ok(location) = HeaderValue::from_str(&location) {
+        response.headers_mut().insert(header::LOCATION, location);
     }
+    Ok(Some(response))
 }
 
-#[cfg(test)]
-mod tests;
+async fn is_up(planner: &str) -> bool {
+    let call = Call { method: "GET", url: format!("{planner}/healthz"), key: None, body: None };
+    let health_check = tokio::time::timeout(HEALTH_CHECK_TIMEOUT, client::call(call)).await;
+    matches!(health_check, Ok(Ok(reply)) if reply.status == 200)
+}
--- a/src/wire/rest/groups.rs
+++ b/src/wire/rest/groups.rs
@@ -1,19 +1,24 @@
 //! Requests that submit, get and cancel groups.
 
 use super::answers::{self, Answer, Problem};
+use super::fleet;
 use super::jobs::{self, SubmitQuery};
 use super::objects::{self, NewJob};
 use super::Api;
+use crate::decide::groups::settings::GroupSettings;
 use crate::decide::groups::{self, OnLoss};
+use crate::decide::key_owners::MemberKey;
 use crate::placer::*;
 use crate::state::{GroupId, GroupSubmission, GroupView, Input, Spec};
+use crate::wire::hub::Inner;
 use crate::wire::platform::node;
 use axum::body::Body;
 use axum::extract::rejection::QueryRejection;
 use axum::extract::{Path, Query, State};
-use axum::http::{header, HeaderMap, HeaderValue};
+use axum::http::{header, HeaderMap, HeaderValue, Uri};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// Seconds. The retry delay in a response if the planner holds the maximum number of groups or jobs, or is
@@ -82,6 +87,7 @@
 pub(super) async fn submit(
     State(api): State<Arc<Api>>,
     query: Result<Query<SubmitQuery>, QueryRejection>,
+    uri: Uri,
     headers: HeaderMap,
     body: Body,
 ) -> Answer {
@@ -90,7 +96,12 @@
     let new: NewGroup = serde_json::from_slice(&body).map_err(|e| Problem::bad(&e.to_string()))?;
     let key = jobs::idempotency_key(&headers)?;
     let keyless = key.is_none();
-    let (group, joined) = submit_or_join(&api, &new, key)?;
+    let members = check_members(&api, &new, key.as_deref())?;
+    let owner = key_owner(&api, key.as_deref(), &members)?;
+    if let Some(redirect) = fleet::redirect_to(owner, &api.options.own_url, &uri).await? {
+        return Ok(redirect);
+    }
+    let (group, joined) = submit_or_join(&api, &new, members, key)?;
     let view = match query.wait {
         true => {
             // A client without a key cannot find this group again, so the group is cancelled if it
@@ -106,42 +117,73 @@
     answer(&api, &view, if joined { 200 } else { 201 })
 }
 
-/// Submits the group, or joins the group that already has its key, under one lock.
-fn submit_or_join(api: &Api, new: &NewGroup, key: Option<String>) -> Result<(GroupId, bool), Problem> {
-    let digest = objects::digest(json!(new).to_string().as_bytes());
-    let mut inner = api.hub.lock();
+/// A valid member of a group.
+struct CheckedMember {
+    class: usize,
+    job: NewJob,
+    /// Its key; none in classes without keys.
+    key: Option<String>,
+}
+
+fn group_settings(inner: &Inner) -> Result<Arc<GroupSettings>, Problem> {
     let settings = inner.core.group_settings();
-    let settings = settings
-        .ok_or_else(|| Problem::unknown("groups are off: the operators' file has no section \"groups\""))?;
-    if let Some((id, known)) = key.as_deref().and_then(|key| inner.core.group_keyed(key)) {
-        if known != digest {
-            return Err(Problem::key_reused());
-        }
-        // A refused group may be submitted again. A failed one may have run, so its result stays.
-        if !matches!(inner.core.group_answer(id), Some(groups::Answer::Refused { .. })) {
-            return Ok((id, true));
-        }
-    }
+    settings.ok_or_else(|| Problem::unknown("groups are off: the operators' file has no section \"groups\""))
+}
+
+/// Checks each member by itself, and that no two have the same key.
+fn check_members(api: &Api, new: &NewGroup, key: Option<&str>) -> Result<Vec<CheckedMember>, Problem> {
+    let mut inner = api.hub.lock();
+    group_settings(&inner)?;
     if new.members.is_empty() {
         return Err(Problem::bad("a group has at least one member"));
     }
-    let now = api.hub.now();
-    let deadline = now + new.deadline_ms as f64 / 1e3;
     let mut members = Vec::new();
-    let mut keys = std::collections::BTreeSet::new();
+    let mut keys = BTreeSet::new();
     for (at, member) in new.members.iter().enumerate() {
         let job = member.job(new.deadline_ms);
-        let with_index = |problem: Problem| problem.of_member(at);
-        let member_key = member.key.clone().or_else(|| key.as_ref().map(|key| format!("{key}/{at}")));
-        let keyed = inner.core.vocabulary().class(&job.class).is_some_and(|class| {
+        let is_keyed = inner.core.vocabulary().class(&job.class).is_some_and(|class| {
             matches!(inner.core.settings().classes[class].idempotency, Idempotency::Keyed { .. })
         });
-        let member_key = member_key.filter(|_| keyed);
-        let class = jobs::check(&mut inner, &job, member_key.as_deref()).map_err(with_index)?;
-        if member_key.as_ref().is_some_and(|member_key| !keys.insert((class, member_key.clone()))) {
+        let own_or_default =
+            || member.key.clone().or_else(|| key.map(|key| api.key_owners.member_key(key, at)));
+        let key = is_keyed.then(own_or_default).flatten();
+        let class = jobs::check(&mut inner, &job, key.as_deref()).map_err(|problem| problem.of_member(at))?;
+        if key.as_ref().is_some_and(|key| !keys.insert((class, key.clone()))) {
             return Err(Problem::bad("two members have one key").of_member(at));
         }
-        let in_use = member_key.as_deref().and_then(|member_key| inner.core.keyed(&job.class, member_key));
+        members.push(CheckedMember { class, job, key });
+    }
+    Ok(members)
+}
+
+/// The planner that owns the group's key and the keys of all its members.
+fn key_owner<'a>(
+    api: &'a Api,
+    key: Option<&str>,
+    members: &[CheckedMember],
+) -> Result<Option<&'a str>, Problem> {
+    let mut member_keys = Vec::new();
+    for (member, CheckedMember { job, key, .. }) in members.iter().enumerate() {
+        let class = job.class.as_str();
+        member_keys.extend(key.as_deref().map(|key| MemberKey { member, class, key }));
+    }
+    api.key_owners.of_group(key, &member_keys).map_err(|several| {
+        let detail =
+            "its key belongs to another planner than the group's other keys; keys with the same part \
+                      in braces, such as {night-7}/a, belong to one planner";
+        Problem::bad(detail).of_member(several.member)
+    })
+}
+
+/// The data that is forwarded to each member's machine, and the input of its placement decision.
+fn member_tasks(
+    inner: &Inner,
+    members: Vec<CheckedMember>,
+    deadline: Seconds,
+) -> Result<Vec<(Arc<Spec>, Task)>, Problem> {
+    let mut tasks = Vec::new();
+    for (at, CheckedMember { class, job, key }) in members.into_iter().enumerate() {
+        let in_use = key.as_deref().and_then(|key| inner.core.keyed(&job.class, key));
         if in_use.and_then(|id| inner.core.job(id)).is_some_and(|job| !job.phase.is_over()) {
             return Err(Problem::bad("its key belongs to a job that is not over").of_member(at));
         }
@@ -155,12 +197,36 @@
             limits: TaskLimits::default(),
         };
         let (class, service, body) = (job.class, job.service, job.description);
-        let spec = Spec { class, name: "0".repeat(16), service, key: member_key, body, digest: 0 };
+        let spec = Spec { class, name: "0".repeat(16), service, key, body, digest: 0 };
         if !node::fits(RequestId(u64::MAX), &spec) {
             return Err(Problem::bad("the description is too long for a machine's message").of_member(at));
         }
-        members.push((Arc::new(spec), task));
+        tasks.push((Arc::new(spec), task));
+    }
+    Ok(tasks)
+}
+
+/// Submits the group, or joins the group that already has its key, under one lock.
+fn submit_or_join(
+    api: &Api,
+    new: &NewGroup,
+    members: Vec<CheckedMember>,
+    key: Option<String>,
+) -> Result<(GroupId, bool), Problem> {
+    let digest = objects::digest(json!(new).to_string().as_bytes());
+    let mut inner = api.hub.lock();
+    let settings = group_settings(&inner)?;
+    if let Some((id, known)) = key.as_deref().and_then(|key| inner.core.group_keyed(key)) {
+        if known != digest {
+            return Err(Problem::key_reused());
+        }
+        // A refused group may be submitted again. A failed one may have run, so its result stays.
+        if !matches!(inner.core.group_answer(id), Some(groups::Answer::Refused { .. })) {
+            return Ok((id, true));
+        }
     }
+    let deadline = api.hub.now() + new.deadline_ms as f64 / 1e3;
+    let members = member_tasks(&inner, members, deadline)?;
     let classes_and_services: Vec<(usize, &str)> =
         members.iter().map(|(spec, task)| (task.class, spec.service.as_str())).collect();
     let figures = settings.figures(&classes_and_services);
--- a/src/wire/rest/jobs.rs
+++ b/src/wire/rest/jobs.rs
@@ -1,7 +1,7 @@
 //! Requests that submit, get and cancel jobs.
 
 use super::answers::{self, Answer, Problem};
-use super::fleet::KeyOwner;
+use super::fleet;
 use super::objects::{self, NewJob};
 use super::Api;
 use crate::placer::*;
@@ -13,7 +13,6 @@
 use axum::extract::{Path, Query, State};
 use axum::http::{header, HeaderMap, HeaderValue, Uri};
 use serde::Deserialize;
-use serde_json::json;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,8 +22,7 @@
 const MAX_KEY_BYTES: usize = 255;
 /// Milliseconds. The longest time to a deadline.
 const MAX_DEADLINE_MS: u64 = 3_600_000;
-/// Seconds. The retry delay in a response if the planner holds the maximum number of jobs, is stopping, or
-/// cannot reach the owner of a key.
+/// Seconds. The retry delay in a response if the planner holds the maximum number of jobs or is stopping.
 const BUSY_RETRY_S: f64 = 1.0;
 /// The cause code in the platform protocol that tells a machine that the owner ended the task.
 const ENDED_BY_OWNER: u8 = 16;
@@ -53,13 +51,9 @@
     let key = idempotency_key(&headers)?;
     let class = check(&mut api.hub.lock(), &new, key.as_deref())?;
     if let Some(key) = &key {
-        match api.fleet.locate(&new.class, key).await {
-            KeyOwner::This => {}
-            KeyOwner::Other(planner) => return Ok(redirect(&planner, &uri)),
-            KeyOwner::Unreachable(planner) => {
-                let detail = format!("the key belongs to {planner}, which cannot be reached");
-                return Err(Problem::unavailable(&detail, BUSY_RETRY_S));
-            }
+        let owner = api.key_owners.of_job(&new.class, key);
+        if let Some(redirect) = fleet::redirect_to(owner, &api.options.own_url, &uri).await? {
+            return Ok(redirect);
         }
     }
     let (job, joined) = submit_or_join(&api, &new, class, key)?;
@@ -207,15 +201,6 @@
     Ok(response)
 }
 
-fn redirect(planner: &str, uri: &Uri) -> axum::response::Response {
-    let location = format!("{planner}{}", uri.path_and_query().map_or("/v1/jobs", |p| p.as_str()));
-    let mut response = answers::json(307, &json!({"planner": planner}));
-    if let Ok(location) = HeaderValue::from_str(&location) {
-        response.headers_mut().insert(header::LOCATION, location);
-    }
-    response
-}
-
 fn parse(id: &str) -> Result<RequestId, Problem> {
     let number = (id.len() == 16).then(|| u64::from_str_radix(id, 16).ok()).flatten();
     number.map(RequestId).ok_or_else(|| Problem::unknown(&format!("no job is called {id:?}")))
--- a/src/wire/rest/mod.rs
+++ b/src/wire/rest/mod.rs
@@ -16,6 +16,7 @@
 pub use objects::{digest, NewJob};
 pub use submit::{count, submit};
 
+use crate::decide::key_owners::KeyOwners;
 use crate::document::Item;
 use crate::wire::hub::Hub;
 use answers::{Answer, Problem};
@@ -25,7 +26,6 @@
 use axum::http::Uri;
 use axum::routing::get;
 use axum::Router;
-use fleet::Fleet;
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
@@ -153,7 +153,7 @@
 struct Api {
     hub: Arc<Hub>,
     options: Options,
-    fleet: Fleet,
+    key_owners: KeyOwners,
     watchers: Arc<Semaphore>,
     /// Identifies this run of the program in resource versions; versions of another run are gone.
     epoch: u64,
@@ -169,9 +169,9 @@
 pub async fn serve(hub: Arc<Hub>, listener: TcpListener, options: Options) {
     let epoch = (hub.now() * 1e3) as u64;
     let connection_permits = Arc::new(Semaphore::new(options.max_connections));
-    let fleet = Fleet::new(&options.fleet, &options.own_url);
+    let key_owners = KeyOwners::new(&options.fleet);
     let watchers = Arc::new(Semaphore::new(options.max_watchers));
-    let api = Arc::new(Api { hub, options, fleet, watchers, epoch });
+    let api = Arc::new(Api { hub, options, key_owners, watchers, epoch });
     let app = Router::new()
         .route("/healthz", get(health))
         .route("/v1/jobs", get(list_jobs).post(jobs::submit))
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -293,3 +293,41 @@
     let stderr = String::from_utf8_lossy(&output.stderr).into_owned();
     assert!(stderr.contains(":4: exactly one of job and group is expected"), "{stderr}");
 }
+
+/// Guards a key against attempts of two planners together: a group that comes to a planner which does not own
+/// its key, as a retry may, is sent to the owner and not placed.
+#[test]
+fn a_group_is_placed_by_the_owner_of_its_keys() {
+    let (_owner_nodes, owner, owner_rest) = start_cluster(FILE, 40);
+    let url = format!("http://{owner_rest}");
+    let file = format!(
+        "{{rest: {{listen: '127.0.0.1:0', ownUrl: 'http://127.0.0.1:1', fleet: ['http://127.0.0.1:1', '{url}']}},
+        groups: {{default: {{maxMembers: 40, tries: 1}}}}}}"
+    );
+    let (nodes, _planner, rest) = start_cluster(&file, 40);
+    let body = group(2, 0.25);
+    let post = |key: &str| call(rest, "POST /v1/groups", Some(key), &body);
+    let keys: Vec<String> = (0..40).map(|n| format!("night-{n}")).collect();
+    let (elsewhere, here): (Vec<&String>, Vec<&String>) = keys.iter().partition(|key| {
+        let (status, answer) = post(key);
+        assert!(status == 201 || (status == 307 && answer["planner"] == json!(url)), "{status} {answer}");
+        status == 307
+    });
+    assert!(!elsewhere.is_empty() && !here.is_empty(), "both planners own keys");
+    assert!(here.iter().all(|key| post(key).0 == 200), "a retry joins its group");
+    let offers: usize = nodes.iter().map(|n| n.ledger().asks()).sum();
+    assert_eq!(offers, 2 * here.len(), "nothing was sent under the other planner's keys");
+    // Keys of members with one tag have one owner; those without belong to several, and no planner places them.
+    let with_member_keys = |count: usize, tag: &str| {
+        let member = |n: usize| json!({"class": "keyed", "service": "s", "cores": 1, "memory": 1, "key": format!("{tag}{n}")});
+        json!({"deadlineMs": 3000, "members": (0..count).map(member).collect::<Vec<Value>>()})
+    };
+    let (status, answer) = call(rest, "POST /v1/groups", None, &with_member_keys(2, "{tag}/"));
+    assert!(matches!(status, 201 | 307), "{status} {answer}");
+    let (status, answer) = call(rest, "POST /v1/groups", None, &with_member_keys(40, "own-"));
+    assert_eq!(status, 400, "{answer}");
+    assert!(answer["detail"].as_str().is_some_and(|d| d.contains("another planner")), "{answer}");
+    // Its owner is gone: the key does not move.
+    owner.stop(Duration::from_secs(10)).expect("the owner stops");
+    assert!(elsewhere.iter().all(|key| post(key).0 == 503));
+}
