Report a budget's own total and hold time to other planners, not what was heard

Cause: asks and grants carried the effective total (Share::total), the lower of the own one and of what was heard within two leases, so that two planners that had both reloaded renewed the old total for each other.

Change: they carry the total and hold time of the sender's own file.

Result: planners_do_not_echo_a_figure_that_no_file_sets_any_more failed before (total 2, not 20, three leases after the change) and passes; tests/budgets beside ten busy processes on eight cores passed in 5 of 5 runs, tests/twin passed.

--- a/src/decide/budgets/share.rs
+++ b/src/decide/budgets/share.rs
@@ -26,9 +26,10 @@
     /// The most units of that lender that the asker keeps using until the answer arrives; the lender may
     /// lower the loan to this at once.
     pub holds: u64,
-    /// The budget's total as the asker knows it.
+    /// The budget's total in the asker's own file. What it has heard from others is not passed on: two
+    /// planners would keep a lower total alive for each other.
     pub total: u64,
-    /// The asker's hold time in microseconds, where it is the same for all uses; otherwise 0.
+    /// The hold time in the asker's own file in microseconds, where it is the same for all uses; otherwise 0.
     pub hold: Micros,
 }
 
@@ -43,9 +44,9 @@
     pub units: u64,
     /// Duration of the loan in microseconds.
     pub span: Micros,
-    /// The budget's total as the lender knows it.
+    /// The budget's total in the lender's own file.
     pub total: u64,
-    /// The lender's hold time in microseconds, where it is the same for all uses; otherwise 0.
+    /// The hold time in the lender's own file in microseconds, where it is the same for all uses; otherwise 0.
     pub hold: Micros,
 }
 
@@ -297,7 +298,7 @@
         self.note_peer_figures(now, ask.total, ask.hold);
         let (units, span) = self.lend(leases, now, from, ask)?;
         let (incarnation, number) = (ask.incarnation, ask.number);
-        Some(Grant { incarnation, number, units, span, total: self.total(now), hold: self.hold(now) })
+        Some(Grant { incarnation, number, units, span, total: self.total, hold: self.hold })
     }
 
     /// Processes a grant.
@@ -384,7 +385,7 @@
         let mut asks = Vec::new();
         let (usable, wanted) = (self.usable(leases, now), self.demand.max(self.used));
         let mut surplus = usable.saturating_sub(wanted);
-        let (incarnation, total, hold) = (self.incarnation, self.total(now), self.hold(now));
+        let (incarnation, total, hold) = (self.incarnation, self.total, self.hold);
         let (terms, until) = (self.terms, self.used_until);
         // Units that last until the end of all uses in flight must still cover these uses after a loan is
         // reduced.
--- a/src/decide/budgets/tests.rs
+++ b/src/decide/budgets/tests.rs
@@ -110,6 +110,39 @@
     assert_eq!(lender.usable(&leases, later), 0, "its own lower total applies at once");
 }
 
+/// Guards a raised total and a shortened hold time against two planners that keep the old figures alive for each
+/// other: each must report what its own file sets, not what it has heard.
+#[test]
+fn planners_do_not_echo_a_figure_that_no_file_sets_any_more() {
+    let leases = SlotLeases::default();
+    let (mut first, mut second, raised_at) = pair(&leases);
+    let (old, new) = ((2, 40 * MS), (20, 10 * MS));
+    second.set_total(old.0, old.1);
+    first.set_total(new.0, new.1);
+    let mut now = raised_at;
+    while now < raised_at + 8 * TERMS.lease {
+        now += TERMS.ask_every;
+        // One ask leaves before the second planner reads the new file.
+        if now > raised_at + TERMS.ask_every {
+            second.set_total(new.0, new.1);
+        }
+        first.set_need(50, 0, 0);
+        second.set_need(50, 0, 0);
+        for (_, ask) in second.tick(&leases, now) {
+            let grant = first.on_ask(&leases, now, 1, ask);
+            grant.into_iter().for_each(|grant| second.on_grant(now, 0, grant));
+        }
+        for (_, ask) in first.tick(&leases, now) {
+            let grant = second.on_ask(&leases, now, 0, ask);
+            grant.into_iter().for_each(|grant| first.on_grant(now, 1, grant));
+        }
+        if now > raised_at + 3 * TERMS.lease {
+            assert_eq!((first.total(now), first.hold(now)), new, "{} us after the change", now - raised_at);
+            assert_eq!((second.total(now), second.hold(now)), new, "{} us after the change", now - raised_at);
+        }
+    }
+}
+
 fn ledger(total: u64, hold: Micros, kind: Kind) -> (BudgetLedger, BudgetId) {
     let plan = Plan { place: (0, 2), voters: vec![], terms: TERMS };
     let mut ledger = BudgetLedger::new(&plan, 5, 0);
