Let a release give up only pending jobs of its own connection

Cause: Input::Cancel did not carry the connection, so that the core could not ask whose job it was.

Change: Input::OwnerRelease names the connection; it cancels pending jobs of that connection and stops running tasks of any platform connection, as the protocol says, and no job of the REST front.

Result: a_pending_job_is_cancelled_on_its_own_connection_alone failed before (the attempt was cancelled) and passes.

--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -265,7 +265,7 @@
             }
             owner::kind::RELEASE => {
                 let cause = message.cause().map_err(rejected)?.unwrap_or(cause::OVER);
-                Input::Cancel { job: RequestId(message.task), cause }
+                Input::OwnerRelease { link: connection, job: RequestId(message.task), cause }
             }
             _ => return Ok(()),
         };
--- a/src/state/interface.rs
+++ b/src/state/interface.rs
@@ -117,8 +117,11 @@
     Draining { until: Seconds },
     /// A connection to the machine is established.
     LinkUp { machine: MachineId },
-    /// An owner cancels a pending job or stops a running task; `cause` is forwarded to the machine.
+    /// The REST API cancels a pending job or stops a running task of its own; `cause` is forwarded to the machine.
     Cancel { job: RequestId, cause: u8 },
+    /// A message on a client connection cancels a pending job of that connection, or stops a running task of any
+    /// client connection; `cause` is forwarded to the machine.
+    OwnerRelease { link: u64, job: RequestId, cause: u8 },
     /// A client connection closed: its pending jobs are cancelled, its running tasks continue.
     OwnerGone { link: u64 },
     /// A client connection can no longer be read, for instance after a malformed message: its pending jobs
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -321,6 +321,15 @@
         self.close(now, id, phase, effects);
     }
 
+    /// Whether a release on a client connection may end a job: a pending one belongs to its connection, a running
+    /// task to none.
+    pub(super) fn may_release(&self, link: u64, id: RequestId) -> bool {
+        self.jobs.get(&id).is_some_and(|job| match job.owner {
+            Owner::Link(own) => own == link || job.phase == Phase::Running,
+            Owner::Rest | Owner::Group { .. } => false,
+        })
+    }
+
     /// Cancels a pending job or stops a running task, on its owner's request.
     pub(super) fn cancel(&mut self, now: Seconds, id: RequestId, cause: u8, effects: &mut Vec<Effect>) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.phase.is_over()) else { return };
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -225,6 +225,11 @@
             Input::Submit(ask) => self.submit(now, ask, effects),
             Input::Adopt { ask, machine } => self.adopt(now, ask, machine, effects),
             Input::Cancel { job, cause } => self.cancel(now, job, cause, effects),
+            Input::OwnerRelease { link, job, cause } => {
+                if self.may_release(link, job) {
+                    self.cancel(now, job, cause, effects);
+                }
+            }
             Input::OwnerGone { link } => {
                 for job in self.pending_on(link) {
                     self.cancel(now, job, 0, effects);
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -250,6 +250,28 @@
     }
 }
 
+/// Guards clients against one that sends releases with the ids of others' pending jobs; running tasks belong to
+/// no connection, and may be stopped on any.
+#[test]
+fn a_pending_job_is_cancelled_on_its_own_connection_alone() {
+    let release = |link| Input::OwnerRelease { link, job: RequestId(1), cause: 16 };
+    let mut bench = Bench::new("repeatable");
+    let machine = launched(&bench.submit(1, None)).expect("a launch");
+    bench.sent(1, 0);
+    assert_eq!(bench.apply_input(release(2)), [], "another connection");
+    assert_eq!(answers(&bench.bound(machine, 1)), 1);
+    let stopped = bench.apply_input(release(2));
+    assert!(stopped.contains(&Effect::Stop { machine, job: RequestId(1), cause: 16 }), "{stopped:?}");
+    let mut bench = Bench::new("repeatable");
+    bench.submit(1, None);
+    bench.apply_input(release(1));
+    assert_eq!(bench.core.pending(), 0, "its own connection");
+    let mut bench = Bench::new("by_key");
+    bench.submit(1, Some("k"));
+    bench.apply_input(release(1));
+    assert_eq!(bench.core.pending(), 1, "a job of the REST front");
+}
+
 /// Guards memory against reported running tasks: those at unlisted machines, whose end nobody reports, and
 /// any number of others.
 #[test]
--- a/src/wire/platform/owners.rs
+++ b/src/wire/platform/owners.rs
@@ -295,7 +295,7 @@
         }
         kind::RELEASE => {
             let cause = message.cause()?.unwrap_or(cause::OVER);
-            hub.apply_in(inner, Input::Cancel { job, cause });
+            hub.apply_in(inner, Input::OwnerRelease { link: id, job, cause });
         }
         kind::TEST => {
             let passed = !inner.draining;
--- a/src/wire/trail.rs
+++ b/src/wire/trail.rs
@@ -36,7 +36,7 @@
             let (key, id) = (&ask.spec.name, uid(ask.job));
             tracing::debug!(target: TARGET, job = id, task = %key, machine = name(machine), "adopted");
         }
-        Input::Cancel { job, cause } => {
+        Input::Cancel { job, cause } | Input::OwnerRelease { job, cause, .. } => {
             tracing::debug!(target: TARGET, job = uid(*job), cause, "given up by its owner");
         }
         Input::Sent { job, attempt } => {
