Remember the address of a connection for as long as its tasks run

Cause: of 4,096 remembered addresses the oldest was dropped, also while tasks of its connection ran; an unknown address counts as any.

Change: the oldest address of a closed connection without jobs is dropped.

Result: a_crowd_does_not_make_the_owner_of_a_running_task_unknown failed before (the stranger got the release) and passes; 11 tests of the hub. Not run on sockets.

--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -5,7 +5,7 @@
 use super::Inner;
 use crate::decide::limits::micros;
 use crate::placer::{MachineId, Seconds};
-use crate::state::Owner;
+use crate::state::{LinkLoad, Owner};
 use crate::wire::errors::is_shortage;
 use crate::wire::outbox::{Outbox, Tag};
 use std::collections::BTreeMap;
@@ -20,8 +20,9 @@
 const MAX_ORPHANS: usize = 4096;
 /// Seconds. How long a release waits for its owner to reconnect.
 const ORPHAN_TTL_S: Seconds = 10.0;
-/// Count. Connections of owners, closed ones included, whose address is remembered.
-const MAX_OWNER_ADDRESSES: usize = 4096;
+/// Count. Connections of owners whose address is remembered, closed ones included; more only if all of them are
+/// open or have jobs.
+pub(super) const MAX_OWNER_ADDRESSES: usize = 4096;
 
 /// Seconds. A connection on which nothing was ever sent to its owner, and nothing is open, is closed after
 /// this time.
@@ -171,13 +172,25 @@
             !is_same_owner && now - orphan.at < ORPHAN_TTL_S
         });
         self.owner_addresses.insert(id, ip);
+        self.owners.insert(id, link);
         if self.owner_addresses.len() > MAX_OWNER_ADDRESSES {
-            self.owner_addresses.pop_first();
+            self.forget_unused_address();
         }
-        self.owners.insert(id, link);
         Some((id, wake))
     }
 
+    /// Forgets the address of the oldest connection that is closed and has no jobs. Where there is none, all
+    /// addresses are kept: connections and running tasks have bounds of their own.
+    fn forget_unused_address(&mut self) {
+        let is_unused = |id: &u64| {
+            !self.owners.contains_key(id) && self.core.link_load(*id) == LinkLoad { open: 0, standing: 0 }
+        };
+        let unused = self.owner_addresses.keys().copied().find(is_unused);
+        if let Some(unused) = unused {
+            self.owner_addresses.remove(&unused);
+        }
+    }
+
     /// Closes the least useful connection: a silent one before an idle one, an idle one before one with
     /// running tasks, and among equals the least recently used. Returns `None` where none can be closed.
     pub fn make_room(&mut self) -> Option<()> {
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -1,3 +1,4 @@
+use super::client_connections::MAX_OWNER_ADDRESSES;
 use super::*;
 use crate::state::tests::core;
 use crate::state::{JobSubmission, MachineNotice, Spec};
@@ -257,3 +258,43 @@
     link(&mut inner, now);
     assert!(hub.earliest_arrival(&inner, client) >= now);
 }
+
+/// Guards the end of a task against a crowd of connections: the address of the task's owner is kept as long as the
+/// task runs, so that its release goes to that owner and to nobody else.
+#[test]
+fn a_crowd_does_not_make_the_owner_of_a_running_task_unknown() {
+    let hub = hub(9);
+    let mut inner = hub.lock();
+    let (own, other) = (IpAddr::from([127, 0, 0, 7]), IpAddr::from([127, 0, 0, 8]));
+    let (owner, _) = inner.open_owner(100.0, own).expect("a connection");
+    let room = Room { cores: 1.0, memory: 1.0 };
+    let (class, service, deadline) = (0, ServiceId(1), 100.0);
+    let limits = TaskLimits::default();
+    let task = Task { class, tenant: None, service, room, deadline, expected_runtime_s: None, limits };
+    let spec = Arc::new(Spec { class: "c".into(), ..Spec::default() });
+    let machine = inner.core.vocabulary().machine("b");
+    let ask = JobSubmission { job: RequestId(1), owner: Owner::Link(owner), spec, task };
+    hub.apply_in(&mut inner, Input::Adopt { ask, machine });
+    inner.close_owner(100.0, owner);
+    for _ in 0..3 * MAX_OWNER_ADDRESSES {
+        let (id, _) = inner.open_owner(100.0, other).expect("a connection");
+        inner.close_owner(100.0, id);
+    }
+    assert!(
+        inner.owner_addresses.len() <= MAX_OWNER_ADDRESSES + 1,
+        "{} addresses",
+        inner.owner_addresses.len()
+    );
+    let (returned, _) = inner.open_owner(100.0, own).expect("a connection");
+    let (stranger, _) = inner.open_owner(100.0, other).expect("a connection");
+    inner.write_to_owner(100.0, Owner::Link(owner), vec![1], true);
+    let has_release = |inner: &Inner, id: u64| !inner.owners[&id].outbox.is_empty();
+    assert_eq!((has_release(&inner, stranger), has_release(&inner, returned)), (false, true));
+    // The address is forgotten with the task's end: two closed connections more than are kept.
+    hub.apply_in(&mut inner, Input::OwnerRelease { link: returned, job: RequestId(1), cause: 16 });
+    for _ in 0..MAX_OWNER_ADDRESSES {
+        let (id, _) = inner.open_owner(100.0, other).expect("a connection");
+        inner.close_owner(100.0, id);
+    }
+    assert!(!inner.owner_addresses.contains_key(&owner));
+}
