List machines in the order of their versions, so that a watch resumes without a gap

A watch of machines began in the order of names, so that a client that broke off amid that part and resumed from the last version missed machines of lower versions.

Cause: Core::machine_views was not sorted by version, as the views of jobs and groups are.

Result: machines_are_listed_in_the_order_of_their_versions failed before ([4, 2, 3]) and passes; the recorded exchanges pass.

--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -272,6 +272,19 @@
     assert_eq!(bench.core.pending(), 1, "a job of the REST front");
 }
 
+/// Guards watchers that resume amid the first part of a watch: objects come in the order of their versions, so that
+/// all after the last version seen are still to come.
+#[test]
+fn machines_are_listed_in_the_order_of_their_versions() {
+    let mut bench = Bench::new("repeatable");
+    bench.list(&[(2, Standing::Ready)]);
+    bench.list(&[(0, Standing::Draining)]);
+    let views = bench.core.machine_views();
+    let versions: Vec<u64> = views.iter().map(|view| view.version).collect();
+    assert_eq!(versions.len(), 3);
+    assert!(versions.is_sorted(), "{versions:?}");
+}
+
 /// Guards memory against reported running tasks: those at unlisted machines, whose end nobody reports, and
 /// any number of others.
 #[test]
--- a/src/state/views.rs
+++ b/src/state/views.rs
@@ -52,9 +52,12 @@
         views
     }
 
-    /// Snapshots of all machines.
+    /// Snapshots of all machines, sorted by their last change.
     pub fn machine_views(&self) -> Vec<MachineView> {
-        self.nodes.iter().map(|(id, node)| self.machine_view(id, node)).collect()
+        let mut views: Vec<MachineView> =
+            self.nodes.iter().map(|(id, node)| self.machine_view(id, node)).collect();
+        views.sort_by_key(|view| view.version);
+        views
     }
 
     pub(super) fn job_view(&self, id: RequestId, job: &Job) -> JobView {
