Give the replacement of a lost member as long as its group had

With onLoss "replace", a member lost after the group's deadline was placed again with that deadline, refused at once, and the group was cut.

Cause: place_member took the group's deadline for every member.

Change: once the group is answered, a member's deadline is now plus the time that the group had.

Result: a_member_lost_after_the_deadline_is_replaced failed before (phase Over, not Standing) and passes with the other tests of groups.

--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -37,6 +37,8 @@
     key: Option<String>,
     digest: u64,
     deadline: Seconds,
+    /// Seconds from the group's submission to its deadline.
+    wait_s: Seconds,
     share: f64,
     /// Count. Jobs created for the group so far; part of the hash that gives each job its id.
     jobs_created: u32,
@@ -44,6 +46,16 @@
     version: u64,
 }
 
+impl GroupRecord {
+    /// The deadline of a member that is placed now. One that replaces a lost member has as long as the group had.
+    fn member_deadline(&self, now: Seconds) -> Seconds {
+        match self.answer {
+            None => self.deadline,
+            Some(_) => now + self.wait_s,
+        }
+    }
+}
+
 /// All groups.
 #[derive(Default)]
 pub(super) struct Groups {
@@ -232,6 +244,7 @@
             key: submission.key,
             digest: submission.digest,
             deadline: submission.deadline,
+            wait_s: submission.deadline - now,
             share: submission.share,
             jobs_created: 0,
             answer: None,
@@ -374,10 +387,10 @@
                 break job;
             }
         };
-        let deadline = record.deadline;
+        let deadline = record.member_deadline(now);
         let Some(of) = record.members.get_mut(member) else { return };
         of.job = Some(job);
-        let task = Task { deadline: deadline.min(of.task.deadline), ..of.task };
+        let task = Task { deadline, ..of.task };
         let spec = Arc::new(Spec { name: format!("{:016x}", job.0), ..Spec::clone(&of.spec) });
         let owner = Owner::Group { group: id, member };
         self.submit(now, JobSubmission { job, owner, spec, task }, effects);
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -482,6 +482,23 @@
     }
 }
 
+/// Guards running groups: the replacement of a member that is lost after the group's deadline has as long to be placed
+/// as the group had.
+#[test]
+fn a_member_lost_after_the_deadline_is_replaced() {
+    let mut sim = Simulation::new(11, 3);
+    let id = sim.group(1, 3, 1.0, OnLoss::Replace);
+    sim.run(0.2);
+    assert_eq!(sim.view(id).answer, Some(Answer::Placed));
+    let deadline = sim.view(id).deadline;
+    sim.now = deadline + 1.0;
+    let at = sim.view(id).members[0].job.and_then(|job| sim.core.job(job)?.machine).expect("a machine");
+    sim.break_connection(at.0, true);
+    sim.run(0.3);
+    let view = sim.view(id);
+    assert_eq!((view.phase, view.members[0].phase), (GroupPhase::Standing, Some(Phase::Running)), "{view:?}");
+}
+
 /// Guards a keyed member whose earlier attempt may have run: the whole group is tried again once that copy is
 /// proved gone, within the member's repeat window, and no two copies run at a time.
 #[test]
