Expire unclaimed ends in time, and keep one that is reported again afterwards

Cause: an expired end stayed until the next report, and as long as it lay there a second report of the same end, which a machine makes on its next connection, was taken for known and dropped; an adoption after that was never released.

Change: expired ends are dropped before a report is looked at, at each claim, and by an alarm at the time of the oldest.

Result: an_end_that_is_reported_again_after_its_expiry_is_kept failed before (None, not Ok) and passes; 57 tests of the reducer.

--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -21,6 +21,8 @@
     UnlistedTimeout(RequestId),
     /// The time for which a finished job is kept is up.
     ForgetJob(RequestId),
+    /// The time for which the oldest unclaimed end is kept is up.
+    ExpireEnds,
     /// A group requested a timer.
     Group(GroupId),
     /// The time for which a finished group is kept is up.
@@ -71,6 +73,7 @@
                 Alarm::ShutDown => self.answer_all(now, effects),
                 Alarm::UnlistedTimeout(job) => self.unlisted_timed_out(now, job, effects),
                 Alarm::ForgetJob(job) => self.forget(job, effects),
+                Alarm::ExpireEnds => self.expire_ends(now),
                 Alarm::Group(group) => self.on_group_event(now, group, groups::Event::Tick, effects),
                 Alarm::ForgetGroup(group) => self.forget_group(group, effects),
                 Alarm::Fleet => self.fleet_tick(now, effects),
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -160,7 +160,7 @@
         self.prove_gone(id, machine);
         let Some(job) = self.jobs.get(&id).filter(|job| !job.phase.is_over()) else {
             // The machine does not repeat the report if the task's owner hands the task over later.
-            return self.unclaimed_ends.record(now, (id, machine), after, self.bounds.standing);
+            return self.keep_unclaimed_end(now, (id, machine), after);
         };
         // An attempt that is still queued, or whose preceding connection check is unanswered, cannot have been
         // answered: the message belongs to an earlier attempt.
--- a/src/state/tests/adoption.rs
+++ b/src/state/tests/adoption.rs
@@ -52,7 +52,8 @@
     bench.end_running(1, 1, Outcome::Ok);
     assert!(!bench.adopt(1, 0).contains(&released(1, Outcome::Ok)), "it ended at another machine");
     bench.end_running(0, 2, Outcome::Ok);
-    bench.now += 1000.0;
+    bench.tick_at(1000.0);
+    assert_eq!(bench.core.unclaimed_ends.next_expiry(), None, "nothing is kept once its time is up");
     assert!(!bench.adopt(2, 0).contains(&released(2, Outcome::Ok)), "the report is too old");
     assert_eq!(bench.core.running_at(MachineId(0)), 2);
 }
--- a/src/state/unclaimed_ends.rs
+++ b/src/state/unclaimed_ends.rs
@@ -30,32 +30,40 @@
 impl UnclaimedEnds {
     /// Keeps the end of a task at a machine, and at most `capacity` ends in total, the newest ones.
     pub fn record(&mut self, now: Seconds, task: TaskAtMachine, outcome: Outcome, capacity: usize) {
+        self.expire(now);
         if self.ends.contains_key(&task) {
             return; // Machines may report an end on two connections.
         }
         self.ends.insert(task, UnclaimedEnd { reported_at: now, outcome });
         self.order.push_back((now, task));
-        while self.order.front().is_some_and(|&(at, _)| is_expired(now, at)) || self.order.len() > capacity {
-            self.remove_oldest();
-        }
+        self.drop_oldest_while(|_, count| count > capacity);
     }
 
     /// Removes and returns how a task ended at a machine, if that was reported.
     pub fn claim(&mut self, now: Seconds, task: TaskAtMachine) -> Option<Outcome> {
-        let end = self.ends.remove(&task)?;
-        (!is_expired(now, end.reported_at)).then_some(end.outcome)
+        self.expire(now);
+        self.ends.remove(&task).map(|end| end.outcome)
     }
 
-    fn remove_oldest(&mut self) {
-        let Some((at, task)) = self.order.pop_front() else { return };
-        if self.ends.get(&task).is_some_and(|end| end.reported_at == at) {
-            self.ends.remove(&task);
-        }
+    /// Drops the ends that were kept for [`RETENTION_S`].
+    pub fn expire(&mut self, now: Seconds) {
+        self.drop_oldest_while(|at, _| now >= at + RETENTION_S);
     }
-}
 
-fn is_expired(now: Seconds, reported_at: Seconds) -> bool {
-    now - reported_at > RETENTION_S
+    /// The time at which [`UnclaimedEnds::expire`] has something to drop.
+    pub fn next_expiry(&self) -> Option<Seconds> {
+        self.order.front().map(|(at, _)| at + RETENTION_S)
+    }
+
+    /// Drops the oldest records as long as the time of the oldest one and the number of records fulfil a condition.
+    fn drop_oldest_while(&mut self, condition: impl Fn(Seconds, usize) -> bool) {
+        while let Some(&(at, task)) = self.order.front().filter(|(at, _)| condition(*at, self.order.len())) {
+            self.order.pop_front();
+            if self.ends.get(&task).is_some_and(|end| end.reported_at == at) {
+                self.ends.remove(&task);
+            }
+        }
+    }
 }
 
 #[cfg(test)]
--- a/src/state/unclaimed_ends/tests.rs
+++ b/src/state/unclaimed_ends/tests.rs
@@ -30,3 +30,15 @@
     ends.record(50.0, task(2), Outcome::Ok, CAPACITY);
     assert_eq!(ends.claim(50.0, task(1)), Some(Outcome::Lost));
 }
+
+/// Guards a machine's second report of an end, on its next connection, against an expired first one: the task can
+/// still be claimed, and nothing expired is kept.
+#[test]
+fn an_end_that_is_reported_again_after_its_expiry_is_kept() {
+    let mut ends = UnclaimedEnds::default();
+    ends.record(0.0, task(1), Outcome::Ok, CAPACITY);
+    let again_at = RETENTION_S + 1.0;
+    ends.record(again_at, task(1), Outcome::Ok, CAPACITY);
+    assert_eq!((ends.ends.len(), ends.order.len()), (1, 1));
+    assert_eq!(ends.claim(again_at + 1.0, task(1)), Some(Outcome::Ok));
+}
