Forget all surplus addresses of connections, not one for each new connection

Cause: each new connection dropped one address at most, so that a table that had grown beyond its usual number, because all its connections had tasks, never shrank again.

Change: all unused addresses beyond the number are dropped, the oldest first.

Result: addresses_kept_for_running_tasks_are_forgotten_with_them failed before (8,192, not 4,096) and passes with the 12 tests of the hub.

--- a/src/wire/hub/client_connections.rs
+++ b/src/wire/hub/client_connections.rs
@@ -173,21 +173,23 @@
         });
         self.owner_addresses.insert(id, ip);
         self.owners.insert(id, link);
-        if self.owner_addresses.len() > MAX_OWNER_ADDRESSES {
-            self.forget_unused_address();
-        }
+        self.forget_unused_addresses();
         Some((id, wake))
     }
 
-    /// Forgets the address of the oldest connection that is closed and has no jobs. Where there is none, all
-    /// addresses are kept: connections and running tasks have bounds of their own.
-    fn forget_unused_address(&mut self) {
+    /// Forgets the addresses beyond the usual number, of the oldest connections that are closed and have no jobs.
+    /// Where there are too few, the others are kept: connections and running tasks have bounds of their own.
+    fn forget_unused_addresses(&mut self) {
+        let surplus = self.owner_addresses.len().saturating_sub(MAX_OWNER_ADDRESSES);
+        if surplus == 0 {
+            return;
+        }
         let is_unused = |id: &u64| {
             !self.owners.contains_key(id) && self.core.link_load(*id) == LinkLoad { open: 0, standing: 0 }
         };
-        let unused = self.owner_addresses.keys().copied().find(is_unused);
-        if let Some(unused) = unused {
-            self.owner_addresses.remove(&unused);
+        let unused: Vec<u64> = self.owner_addresses.keys().copied().filter(is_unused).take(surplus).collect();
+        for id in unused {
+            self.owner_addresses.remove(&id);
         }
     }
 
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -298,3 +298,16 @@
     }
     assert!(!inner.owner_addresses.contains_key(&owner));
 }
+
+/// Guards memory against addresses that had to be kept beyond the usual number for a time: they are forgotten once
+/// their connections have no jobs any more.
+#[test]
+fn addresses_kept_for_running_tasks_are_forgotten_with_them() {
+    let hub = hub(9);
+    let mut inner = hub.lock();
+    let address = IpAddr::from([127, 0, 0, 8]);
+    let unused_ids = 1 << 32;
+    inner.owner_addresses.extend((0..2 * MAX_OWNER_ADDRESSES as u64).map(|n| (unused_ids + n, address)));
+    inner.open_owner(100.0, address).expect("a connection");
+    assert_eq!(inner.owner_addresses.len(), MAX_OWNER_ADDRESSES);
+}
