--- a/src/decide/key_owners/mod.rs
+++ b/src/decide/key_owners/mod.rs
@@ -2,8 +2,8 @@
 //! planners have attempts of one key out together.
 //!
 //! - Every planner with the same list of planners names the same owner (rendezvous hashing).
-//! - A key may contain a hash tag, its first non-empty part in braces, as in `{night-7}/a`. Keys with the same
-//!   tag have the same owner.
+//! - A key may contain a hash tag: what is between its first opening brace and the next closing one, if anything, as
+//!   in `{night-7}/a`. Keys with the same tag have the same owner.
 //! - A group is owned by the planner that owns its key and the keys of all its members; a group whose keys
 //!   belong to several planners is placed by none (`a_group_has_one_owner_or_none`).
 
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -156,7 +156,7 @@
         report: Option<Report>,
         effects: &mut Vec<Effect>,
     ) {
-        let was_ordered_to_stop = self.possible_copies.may_run_at(id, machine);
+        let may_be_cut_by_own_order = self.possible_copies.may_run_at(id, machine);
         self.prove_gone(id, machine);
         let Some(job) = self.jobs.get(&id).filter(|job| !job.phase.is_over()) else {
             // The machine does not repeat the report if the task's owner hands the task over later.
@@ -167,10 +167,10 @@
         if job.open_attempt.is_some_and(|t| t.is_answered_by(machine)) {
             self.end_attempt(now, id, before, why, report, effects);
         } else if job.phase == Phase::Running && job.machine == Some(machine) {
-            // An owner's stop order closes its job at once. A task that still runs here was cut by an order from
-            // before its owner handed it over, and the owner must hear of it.
-            let was_cut_unasked = after == Outcome::Cancelled && was_ordered_to_stop;
-            let outcome = if was_cut_unasked { Outcome::Lost } else { after };
+            // An owner's stop order closes its job at once. A task that still runs here was cut by a cancellation
+            // from before its owner handed it over, and the owner must hear of it.
+            let is_unknown_to_owner = after == Outcome::Cancelled && may_be_cut_by_own_order;
+            let outcome = if is_unknown_to_owner { Outcome::Lost } else { after };
             self.end_running_task(now, id, outcome, why, report, effects);
         }
     }
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -141,7 +141,7 @@
         let old = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.placed_at < before);
         let lost: Vec<RequestId> = node.running.iter().copied().filter(old).collect();
         for job in lost {
-            if self.runs_unclaimed_after_loss(job) {
+            if self.is_to_be_stopped_after_loss(job) {
                 // If the machine is only unreachable, its copy must not run on without the owner's knowledge.
                 effects.push(Effect::Stop { machine, job, cause: CAUSE_CUT });
             }
@@ -150,10 +150,10 @@
         }
     }
 
-    /// Whether nobody but this planner can end a task that counts as lost, if it runs on at its machine. The
-    /// platform looks for its lost tasks, and hands those that run to any planner: an order of this one would
-    /// stop a task that another planner has adopted.
-    fn runs_unclaimed_after_loss(&self, id: RequestId) -> bool {
+    /// Whether a task that counts as lost is ordered to stop, in case it runs on. The platform looks for its lost
+    /// tasks, and hands those that run to any planner: an order of this one would stop a task that another planner
+    /// has adopted. Nobody looks for tasks of the REST front and of groups.
+    fn is_to_be_stopped_after_loss(&self, id: RequestId) -> bool {
         self.jobs.get(&id).is_some_and(|job| !matches!(job.owner, Owner::Link(_)))
     }
 
--- a/src/state/tests/adoption.rs
+++ b/src/state/tests/adoption.rs
@@ -120,7 +120,7 @@
 fn a_task_that_its_owner_stopped_is_not_released() {
     let mut bench = Bench::new("repeatable");
     bench.adopt(1, 0);
-    let stopped = bench.apply_input(Input::Cancel { job: RequestId(1), cause: 16 });
+    let stopped = bench.apply_input(Input::OwnerRelease { link: 1, job: RequestId(1), cause: 16 });
     assert_eq!(orders(&stopped), 1);
     assert_eq!(bench.end_running(0, 1, Outcome::Cancelled), []);
 }
--- a/src/wire/rest/groups.rs
+++ b/src/wire/rest/groups.rs
@@ -169,8 +169,8 @@
     }
     api.key_owners.of_group(key, &member_keys).map_err(|several| {
         let detail =
-            "its key belongs to another planner than the group's other keys; keys with the same part \
-                      in braces, such as {night-7}/a, belong to one planner";
+            "its key belongs to another planner than the group's other keys; keys with the same part in \
+            braces, such as {night-7}/a, belong to one planner";
         Problem::bad(detail).of_member(several.member)
     })
 }
--- a/tests/groups.rs
+++ b/tests/groups.rs
@@ -315,9 +315,19 @@
     });
     assert!(!elsewhere.is_empty() && !here.is_empty(), "both planners own keys");
     assert!(here.iter().all(|key| post(key).0 == 200), "a retry joins its group");
-    // An offer that a machine refuses is made again, so that tasks are counted and not offers.
+    // A refused offer is made again, so that tasks that run are counted. Of the other planner's keys nothing may even
+    // be offered.
     let running: usize = nodes.iter().map(|n| n.running_tasks()).sum();
-    assert_eq!(running, 2 * here.len(), "nothing runs here under the other planner's keys");
+    assert_eq!(running, 2 * here.len(), "each group placed here runs");
+    let is_under = |offered: &str, key: &str| offered.starts_with(&format!("{{{key}}}/"));
+    for node in &nodes {
+        let under = |keys: &[&String]| {
+            let is = |offered: &str| keys.iter().any(|key| is_under(offered, key));
+            node.ledger().count(|what| matches!(what, What::Ask { key: Some(offered), .. } if is(offered)))
+        };
+        let keyed = node.ledger().count(|what| matches!(what, What::Ask { key: Some(_), .. }));
+        assert_eq!((under(&elsewhere), under(&here)), (0, keyed), "offers under the keys of each planner");
+    }
     // Keys of members with one tag have one owner; those without belong to several, and no planner places them.
     let with_member_keys = |count: usize, tag: &str| {
         let member = |n: usize| json!({"class": "keyed", "service": "s", "cores": 1, "memory": 1, "key": format!("{tag}{n}")});
