--- a/src/state/adoption.rs
+++ b/src/state/adoption.rs
@@ -45,28 +45,6 @@
         self.feed_placer(now, Event::Resident { request: id, task, machine }, effects);
     }
 
-    /// Keeps the reported end of a task that this planner does not hold, for its adoption.
-    pub(super) fn keep_unclaimed_end(
-        &mut self,
-        now: Seconds,
-        task: (RequestId, MachineId),
-        outcome: Outcome,
-    ) {
-        let is_alarm_due = self.unclaimed_ends.next_expiry().is_some();
-        self.unclaimed_ends.record(now, task, outcome, self.bounds.standing);
-        if !is_alarm_due {
-            self.expire_ends(now);
-        }
-    }
-
-    /// Drops the ends that were kept long enough, and sets the alarm for the next ones.
-    pub(super) fn expire_ends(&mut self, now: Seconds) {
-        self.unclaimed_ends.expire(now);
-        if let Some(at) = self.unclaimed_ends.next_expiry() {
-            self.alarm(at, Alarm::ExpireEnds);
-        }
-    }
-
     /// Ends an adopted task whose machine the list has still not named.
     pub(super) fn unlisted_timed_out(&mut self, now: Seconds, id: RequestId, effects: &mut Vec<Effect>) {
         let machine = self.jobs.get(&id).filter(|j| j.phase == Phase::Running).and_then(|j| j.machine);
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -1,5 +1,5 @@
 //! The attempts of a job, and the guards that hold whatever the placer decides: one open attempt per job, no
-//! send to a draining machine, the repeat window, and the reported end of running tasks.
+//! send to a draining machine, and the repeat window.
 
 use super::alarms::Alarm;
 use super::jobs::{Location, Past};
@@ -145,36 +145,6 @@
         self.feed_placer(now, event, effects);
     }
 
-    /// Handles a machine's report that an attempt or a running task has ended; `before` is the outcome if the
-    /// task was not running yet, `after` the outcome if it was.
-    pub(super) fn reported_end(
-        &mut self,
-        now: Seconds,
-        (machine, id): (MachineId, RequestId),
-        (before, after): (Outcome, Outcome),
-        why: Reason,
-        report: Option<Report>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let may_be_cut_by_own_order = self.possible_copies.may_run_at(id, machine);
-        self.prove_gone(id, machine);
-        let Some(job) = self.jobs.get(&id).filter(|job| !job.phase.is_over()) else {
-            // The machine does not repeat the report if the task's owner hands the task over later.
-            return self.keep_unclaimed_end(now, (id, machine), after);
-        };
-        // An attempt that is still queued, or whose preceding connection check is unanswered, cannot have been
-        // answered: the message belongs to an earlier attempt.
-        if job.open_attempt.is_some_and(|t| t.is_answered_by(machine)) {
-            self.end_attempt(now, id, before, why, report, effects);
-        } else if job.phase == Phase::Running && job.machine == Some(machine) {
-            // An owner's stop order closes its job at once. A task that still runs here was cut by a cancellation
-            // from before its owner handed it over, and the owner must hear of it.
-            let is_unknown_to_owner = after == Outcome::Cancelled && may_be_cut_by_own_order;
-            let outcome = if is_unknown_to_owner { Outcome::Lost } else { after };
-            self.end_running_task(now, id, outcome, why, report, effects);
-        }
-    }
-
     /// Ends the open attempt of a job with an outcome.
     pub(super) fn end_attempt(
         &mut self,
@@ -210,33 +180,6 @@
         self.feed_placer(now, Event::Ended(end), effects);
     }
 
-    /// Ends a running task; its owner is notified unless the owner itself stopped the task.
-    pub(super) fn end_running_task(
-        &mut self,
-        now: Seconds,
-        id: RequestId,
-        outcome: Outcome,
-        why: Reason,
-        report: Option<Report>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.last = Some((outcome, why));
-        let (owner, attempt) = (job.owner, job.attempts.saturating_sub(1));
-        let room = job.task.room;
-        self.groups.ends.count(now, room);
-        if outcome != Outcome::Cancelled {
-            effects.push(Effect::Released { owner, job: id, outcome });
-        }
-        let phase = match outcome {
-            Outcome::Ok => Phase::Succeeded,
-            Outcome::Cancelled => Phase::Cancelled,
-            _ => Phase::Lost,
-        };
-        self.close(now, id, phase, effects);
-        self.feed_placer(now, ended(id, attempt, outcome, why, true, report), effects);
-    }
-
     /// Handles the time-out of an attempt. If it was sent, it stays open until its machine confirms the
     /// cancellation: an unreachable machine does not receive the cancellation and may still start the task.
     pub(super) fn attempt_timed_out(
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -9,6 +9,7 @@
 mod alarms;
 mod attempts;
 mod departures;
+mod ends;
 mod fleet;
 mod groups;
 mod history;
