review: case 7, a stale give-up cuts a task that another planner has adopted

Cause: an order to give an attempt up that was not confirmed stays in a connection that is cut off, and that connection stays in use. It is delivered when the network is joined again.

--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+program=review/target/case-7
+[ -x "$program" ] && [ -x target/release/burlhook ] || { echo "build first: the deploy file's build and review/build-2.sh"; exit 2; }
+exec "$program"
