review: make the scripts end all they start, and case 6 independent of the cores

Cause: a script that is ended from outside left its planner; on four of eight cores the answers of case 6 came too far apart to fill the queue.

--- a/review/6/kit.rs
+++ b/review/6/kit.rs
@@ -751,10 +751,13 @@
         self.0.store(is_cut, SeqCst);
     }
 
-    fn wait(&self) {
+    /// Waits until it is joined; returns whether it was cut off.
+    fn wait(&self) -> bool {
+        let was_cut = self.0.load(SeqCst);
         while self.0.load(SeqCst) {
             sleep(ms(1));
         }
+        was_cut
     }
 }
 
@@ -786,11 +789,13 @@
 }
 
 fn pump(to_node: bool, mut from: TcpStream, mut into: TcpStream, look: &Look, silent: &AtomicBool, cut: &Cut) {
-    let (mut seen, mut bytes) = (vec![0; 32 * 1024], vec![0; 32 * 1024]);
+    let (mut seen, mut bytes) = (vec![0; 256 * 1024], vec![0; 256 * 1024]);
     loop {
         // Looks before it reads: what is left unread makes the system answer the planner with a reset.
         let Ok(count) = from.peek(&mut seen) else { break };
-        cut.wait();
+        if cut.wait() {
+            continue; // What has come meanwhile goes on together.
+        }
         if let Ok(Some(_)) = from.take_error() {
             // This end was reset meanwhile. Its system has dropped what could not be delivered.
             let _ = into.shutdown(Shutdown::Both);
@@ -803,13 +808,21 @@
             let _ = from.read(&mut bytes);
             continue;
         }
-        let whole = seen[..count].iter().position(|b| *b == b'\n').map_or(count, |end| end + 1);
-        match look(to_node, &String::from_utf8_lossy(&seen[..whole])) {
-            Do::Pass => {}
-            Do::Silence => {
-                silent.store(true, SeqCst);
-                continue;
+        // Passes all whole lines on at once, up to the first one that is not to be passed.
+        let (mut passed, mut verdict) = (0, Do::Pass);
+        while passed < count && verdict == Do::Pass {
+            let end = seen[passed..count].iter().position(|b| *b == b'\n').map_or(count, |end| passed + end + 1);
+            verdict = look(to_node, &String::from_utf8_lossy(&seen[passed..end]));
+            if verdict == Do::Pass {
+                passed = end;
             }
+        }
+        if passed > 0 && (from.read_exact(&mut bytes[..passed]).is_err() || into.write_all(&bytes[..passed]).is_err()) {
+            break;
+        }
+        match verdict {
+            Do::Pass => {}
+            Do::Silence => silent.store(true, SeqCst),
             Do::Reset => {
                 silent.store(true, SeqCst);
                 let _ = into.shutdown(Shutdown::Both);
@@ -819,10 +832,6 @@
                 return;
             }
         }
-        let Ok(read) = from.read(&mut bytes[..whole]) else { break };
-        if into.write_all(&bytes[..read]).is_err() {
-            break;
-        }
     }
     if !silent.load(SeqCst) {
         let _ = into.shutdown(Shutdown::Write);
--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -19,7 +19,7 @@
     run(6, |place| {
         let ledger = Arc::new(Ledger::default());
         // The nodes hold no copy of the programs, so that a start takes a second.
-        let ways = Ways { start_ms: 1_000, life_ms: 25_000, body_bytes: 8_000 };
+        let ways = Ways { start_ms: 1_000, life_ms: 25_000, body_bytes: 15_000 };
         let cut = Cut::default();
         let mut entries = Vec::new();
         for at in 0..12 {
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,13 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=review/target/case-9
 [ -x "$program" ] && [ -x target/release/burlhook ] || { echo "build first: the deploy file's build and review/build-2.sh"; exit 2; }
-exec "$program"
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+# The program and all that it starts are one group of processes, which ends with this script.
+set -m
+"$program" &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "$TMPDIR"' EXIT
+trap 'exit 2' HUP INT TERM
+wait "$group"
+exit $?
