--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -11,7 +11,7 @@
 const SET_UPS: u64 = 70;
 const SPAN_MS: u64 = 820;
 /// How long the nodes of the second hall are cut off.
-const CUT_MS: u64 = 1_500;
+const CUT_MS: u64 = 1_750;
 /// How long an owner waits.
 const WAIT_MS: u64 = 8_000;
 
