--- a/review/6/kit.rs
+++ b/review/6/kit.rs
@@ -571,6 +571,7 @@
         if !self.hangs.load(SeqCst) {
             let owed: Vec<String> = self.owed.lock().unwrap().drain(..).collect();
             for line in owed {
+                note(&format!("{}: on a connection that is opened, tells {}", self.name, line.trim_end()));
                 self.write(id, &line);
             }
         }
@@ -715,24 +716,28 @@
         }
     }
 
-    /// Ends a task that runs, and tells of it.
+    /// Ends a task that runs, and tells of it: on the connection of its set-up, or, failing that, on any open one, and
+    /// on the next one that is opened.
     fn over(&self, uid: &str, cause: u32, how: &str) {
-        {
+        let of_set_up = {
             let mut copies = self.ledger.copies.lock().unwrap();
             let Some(copy) = copies.iter_mut().find(|c| c.node == self.name && c.uid == uid && c.over.is_none())
             else {
                 return;
             };
             copy.over = Some(at());
-        }
-        note(&format!("{}: {uid} {how}", self.name));
+            copy.conn
+        };
         let line = format!("{{\"kind\":\"stop\",\"uid\":\"{uid}\",\"meta\":{{}},\"reason\":{cause}}}\n");
         let open: Vec<u64> = self.conns.lock().unwrap().keys().copied().collect();
-        for conn in open.iter().rev() {
-            if self.write(*conn, &line) {
-                break;
-            }
-        }
+        let others = open.into_iter().rev().filter(|conn| *conn != of_set_up);
+        let told = std::iter::once(of_set_up).chain(others).find(|conn| self.write(*conn, &line));
+        let on = match told {
+            Some(conn) if conn == of_set_up => "on the connection of its set-up",
+            Some(_) => "on another connection",
+            None => "on no connection yet",
+        };
+        note(&format!("{}: {uid} {how}; tells cause {cause} {on}", self.name));
         self.owed.lock().unwrap().push(line);
     }
 
--- a/review/6/main.rs
+++ b/review/6/main.rs
@@ -1,5 +1,5 @@
 //! Case 6: after a short partition many answers come at once. The planner takes its owner for one that does not read,
-//! and closes the connection with answers unwritten: requests that it has placed are never answered.
+//! and closes the connection with set-ups open and answers unwritten: requests whose tasks run are never answered.
 
 mod kit;
 
@@ -57,9 +57,15 @@
         for id in &unanswered {
             let uid = format!("{id:016x}");
             let copies = ledger.copies.lock().unwrap();
-            let runs: Vec<&str> =
-                copies.iter().filter(|c| c.uid == uid && c.ran_from.is_some()).map(|c| c.node.as_str()).collect();
-            note(&format!("BROKEN: task {uid} had no answer in {WAIT_MS} ms; it runs at {runs:?}"));
+            let runs: Vec<String> = copies
+                .iter()
+                .filter(|c| c.uid == uid)
+                .map(|c| {
+                    let time = |at: Option<u64>| at.map_or("-".to_string(), |at| at.to_string());
+                    format!("ran at {} from {} to {} ms", c.node, time(c.ran_from), time(c.over))
+                })
+                .collect();
+            note(&format!("BROKEN: task {uid} had no answer within {WAIT_MS} ms, nor after; it {}", runs.join(", ")));
         }
         if !planner.is_running() {
             note("the planner has ended");
--- a/review/8/main.rs
+++ b/review/8/main.rs
@@ -6,15 +6,16 @@
 use std::sync::Arc;
 use std::thread::sleep;
 
+/// One of them drains: 8% (up to 16% at a time are allowed).
+const NODES: usize = 12;
+
 fn main() {
     run(8, |place| {
         let ledger = Arc::new(Ledger::default());
         let ways = Ways { start_ms: 60, life_ms: 25_000, body_bytes: 60 };
-        let zones = ["hall-a", "hall-b", "hall-a", "hall-b"];
-        let nodes: Vec<Arc<Node>> =
-            (1..=zones.len()).map(|at| Node::start(&format!("node-{at}"), &ledger, ways)).collect();
+        let nodes: Vec<Arc<Node>> = (1..=NODES).map(|at| Node::start(&format!("node-{at}"), &ledger, ways)).collect();
         let entry_of = |at: usize, state: &str| {
-            entry(&nodes[at].name, &nodes[at].address(), zones[at], state, (30.0, 60.0))
+            entry(&nodes[at].name, &nodes[at].address(), ["hall-a", "hall-b"][at % 2], state, (30.0, 60.0))
         };
         let entries: Vec<String> = (0..nodes.len()).map(|at| entry_of(at, "in_service")).collect();
         let first = event(1, &entries);
--- a/review/9/main.rs
+++ b/review/9/main.rs
@@ -43,6 +43,13 @@
                 _ => break, // No promise that a retry is harmless: the client does not come again.
             }
         }
+        // Once it is placed, the client asks once more under its key, later than the window after its first try.
+        while placed && at() < 1_600 + WINDOW_MS + 1_000 {
+            sleep(ms(10));
+        }
+        if placed {
+            told_call(planner.rest, "POST", "/v1/jobs", Some("notice-1"), &job("keyed"))?;
+        }
         sleep(ms(1_500));
         let doubled = ledger.doubled(100);
         doubled.iter().for_each(|line| note(&format!("BROKEN: {line}")));
