Replace the members of a group that are all lost at once

Cause: a group that stands counted a lost member as over, also where it only waits for the end of its copy to be placed anew. With all members in that state the group ended before the first copy was proved gone. Change: under `replace` only members that have finished count as over. Test: a_group_that_is_lost_as_a_whole_is_replaced failed without the change (1 of 23 tests of groups), passes with it; the model checks of groups pass.

--- a/src/decide/groups/mod.rs
+++ b/src/decide/groups/mod.rs
@@ -338,7 +338,12 @@
                         actions.push(Action::Place(at));
                     }
                 }
-                let over = |m: &Member| matches!(m, Member::Finished | Member::Clear | Member::Cutting);
+                // A lost member that is replaced waits until its copy is proved gone.
+                let over = |m: &Member| match m {
+                    Member::Finished => true,
+                    Member::Clear | Member::Cutting => !replace,
+                    Member::Waiting(_) | Member::Submitted | Member::Stands => false,
+                };
                 if self.members.iter().all(over) {
                     self.end(actions);
                 }
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -539,3 +539,19 @@
     sim.core.apply(sim.now, Input::LinkUp { machine: MachineId(0) }, &mut effects);
     assert!(!effects.iter().any(|e| matches!(e, Effect::Stop { .. })), "{effects:?}");
 }
+
+/// Guards a group whose members are all lost at once, as they ran at one machine: it ended, with its replacements unused.
+#[test]
+fn a_group_that_is_lost_as_a_whole_is_replaced() {
+    let mut sim = Simulation::new(11, 1);
+    let id = sim.group(1, 2, 1.0, OnLoss::Replace);
+    sim.run(0.2);
+    assert_eq!(sim.view(id).answer, Some(Answer::Placed));
+    let jobs =
+        |sim: &Simulation| sim.view(id).members.iter().filter_map(|m| m.job).collect::<BTreeSet<RequestId>>();
+    let lost = jobs(&sim);
+    sim.break_connection(0, true);
+    sim.run(0.5);
+    assert_eq!(sim.view(id).phase, GroupPhase::Standing);
+    assert_eq!((jobs(&sim).len(), jobs(&sim).is_disjoint(&lost)), (2, true), "both are placed anew");
+}
