Take no refused dial, close or reset for the end of a copy at its machine

In service the second copy came after 0.15 to 0.6 s, for keyed REST jobs as well. Cause: `proved: bool` of MachineLost, LinkBroken and Departed stood for three facts: whose clients are told of a loss, that no set-up is open on a connection, and that no copy runs. `dial_refused` and a reset before a refusal gave the second and the third, for which a refusal is no evidence: a machine that drains or is short of connections refuses dials and keeps its tasks. Change: `decide/machine_loss` gives each fact a type of its own: LossNotice, ConnectionEnd, CopyEnd and ProcessEnd. A copy ends by its machine's report, an answered check behind the order to stop it, the list, or after an hour; no dial has a type to say so, so that the old error does not compile. A refused dial ends what is queued, no attempt that was sent: those end with their connection. Each end of a copy is in the trail, with its evidence. - Clients of the platform are told at the same time as before. Those of REST jobs and groups are told after a refusal once the machine reset its connection (in service), or after 6.5 s; till then the task counts as running. - A member that waits is placed anew after an hour at the latest, as its key is free then. A machine that owes the end of a member's copy is visited where descriptors are short. - `former_connection` no longer outlives a connection that was replaced or given back. Tests that used MachineLost{proved: true} as shorthand now give the inputs that occur: a refused dial, the end of the connection, or news of a restart.

--- a/lab/src/node/connection.rs
+++ b/lab/src/node/connection.rs
@@ -28,6 +28,8 @@
     let (out, mut queue) = unbounded_channel::<Value>();
     let mut epoch = shared.epoch.subscribe();
     epoch.mark_unchanged();
+    let mut closes = shared.closes.subscribe();
+    closes.mark_unchanged();
     let now = shared.clock.now();
     shared.lock().connection_opened(now, id, out);
     let mut waiting: VecDeque<Value> = VecDeque::new();
@@ -78,6 +80,11 @@
                 write.write_all(format!("{message}\n").as_bytes()).await?;
             }
             () = tokio::time::sleep(poll_after), if !pause.is_zero() => {}
+            changed = closes.changed() => {
+                if changed.is_ok() {
+                    break Ok(());
+                }
+            }
             changed = epoch.changed() => {
                 if changed.is_ok() {
                     break Err(io::ErrorKind::ConnectionReset.into());
--- a/lab/src/node/plan.rs
+++ b/lab/src/node/plan.rs
@@ -16,6 +16,12 @@
     Wake,
     /// Resets all connections.
     Reset,
+    /// Closes all connections.
+    Close,
+    /// Refuses new connections from now on; tasks run on.
+    StopListening,
+    /// Accepts connections again after `StopListening`.
+    Listen,
     /// Refuses new tasks.
     Drain,
     /// Accepts new tasks again after `Drain`.
--- a/lab/src/node/state.rs
+++ b/lab/src/node/state.rs
@@ -297,7 +297,8 @@
             Act::Open => self.drains = false,
             Act::Refuse(share) => self.plan.refuse = share,
             Act::Fail(share) => self.plan.fail = share,
-            Act::Reset | Act::Die | Act::Return | Act::End => {}
+            Act::Reset | Act::Close | Act::StopListening | Act::Listen => {}
+            Act::Die | Act::Return | Act::End => {}
         }
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod key_owners;
 pub mod limits;
 pub mod links;
+pub mod machine_loss;
 pub mod shutdown;
 pub mod silence;
 pub mod spread;
--- a/src/simulation/mod.rs
+++ b/src/simulation/mod.rs
@@ -37,6 +37,7 @@
 
 use crate::decide::fleet::settings::FleetSettings;
 use crate::decide::fleet::{Incarnation, Member};
+use crate::decide::machine_loss::ConnectionEnd;
 use crate::life::operators::{self, Operators};
 use crate::placer::*;
 use crate::state::{Core, CoreBounds, Effect, GroupId, GroupSubmission, Input, Owner, Refusal, Spec};
@@ -438,7 +439,8 @@
             Effect::Disconnect { machine, departure } => {
                 out.push(Output::Disconnect { machine });
                 let mut follow_ups = Vec::new();
-                self.core.apply(now, Input::Departed { departure, proved: true }, &mut follow_ups);
+                let end = ConnectionEnd::SeenByMachine;
+                self.core.apply(now, Input::Departed { departure, end }, &mut follow_ups);
                 follow_ups.into_iter().for_each(|effect| self.perform(now, effect, out));
             }
             Effect::Placed { owner, job, body } => {
@@ -465,7 +467,7 @@
             Effect::SendToPeer { to, messages } => self.send_to_planner(to, &messages, out),
             // Effects on connections alone: a simulated connection has no timers.
             Effect::Watch { .. } | Effect::Expel { .. } => {}
-            Effect::AttemptOver { .. } | Effect::CutShort { .. } => {}
+            Effect::AttemptOver { .. } | Effect::CopyGone(_) | Effect::CutShort { .. } => {}
             Effect::Subscribe | Effect::Changed | Effect::Log(_) => {}
         }
     }
--- a/src/state/attempts.rs
+++ b/src/state/attempts.rs
@@ -227,14 +227,15 @@
         &mut self,
         now: Seconds,
         id: RequestId,
-        proved: bool,
+        end: ConnectionEnd,
         effects: &mut Vec<Effect>,
     ) {
         let Some(open_attempt) = self.jobs.get(&id).and_then(|j| j.open_attempt) else { return };
-        if proved {
-            self.end_attempt(now, id, Outcome::Lost, Reason::Unknown, None, effects);
-        } else {
-            self.cancel_unconfirmed(now, id, open_attempt.attempt, effects);
+        match end {
+            ConnectionEnd::SeenByMachine => {
+                self.end_attempt(now, id, Outcome::Lost, Reason::Unknown, None, effects);
+            }
+            ConnectionEnd::Unconfirmed => self.cancel_unconfirmed(now, id, open_attempt.attempt, effects),
         }
     }
 
@@ -244,11 +245,11 @@
         &mut self,
         now: Seconds,
         machine: MachineId,
-        proved: bool,
+        end: ConnectionEnd,
         effects: &mut Vec<Effect>,
     ) {
         self.kept_back.disconnected(machine);
-        if !proved {
+        if end == ConnectionEnd::Unconfirmed {
             for id in self.open_attempts_at(machine, |t| t.sent) {
                 let job = self.jobs.get_mut(&id).filter(|j| !matches!(j.owner, Owner::Group { .. }));
                 if let Some(job) = job {
--- a/src/state/ends.rs
+++ b/src/state/ends.rs
@@ -15,7 +15,7 @@
         report: Option<Report>,
         effects: &mut Vec<Effect>,
     ) {
-        self.prove_gone(id, machine);
+        self.prove_gone(id, machine, CopyEnd::Reported);
         self.kept_back.forget(machine, id);
         let Some(job) = self.jobs.get(&id).filter(|job| !job.phase.is_over()) else {
             // The machine does not repeat the report if the task's owner hands the task over later.
--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -177,7 +177,7 @@
                 phase: job.map(|j| j.phase),
                 machine: job.and_then(|j| j.machine).map(|m| self.vocabulary.name(m)),
                 unreachable: cut
-                    .map(|c| c.machines.iter().map(|&m| self.vocabulary.name(m)).collect())
+                    .map(|c| c.machines.keys().map(|&m| self.vocabulary.name(m)).collect())
                     .unwrap_or_default(),
             }
         };
--- a/src/state/groups/cuts.rs
+++ b/src/state/groups/cuts.rs
@@ -2,6 +2,7 @@
 //! repeated until the machines confirm them.
 
 use super::*;
+use crate::state::possible_copies::{PossibleCopy, RETENTION_S};
 
 /// Count. Members' copies for which stop orders are repeated when their machines reconnect; the oldest are
 /// dropped first.
@@ -10,13 +11,27 @@
 /// A member's copy that was ordered to stop, with the machines that have not confirmed its end.
 pub(super) struct PendingCut {
     pub of: (GroupId, usize),
-    pub machines: BTreeSet<MachineId>,
+    /// The machines, and the latest time at which each may have begun the copy.
+    pub machines: BTreeMap<MachineId, Seconds>,
 }
 
 impl Groups {
     /// The jobs of members whose copies at a machine are ordered to stop, which it has not confirmed.
     fn cuts_at(&self, machine: MachineId) -> impl Iterator<Item = RequestId> + '_ {
-        self.pending_cuts.iter().filter(move |(_, cut)| cut.machines.contains(&machine)).map(|(&job, _)| job)
+        self.cuts_begun_at(machine, Seconds::INFINITY)
+    }
+
+    /// As [`Groups::cuts_at`], for copies that were begun by the given time.
+    fn cuts_begun_at(&self, machine: MachineId, by: Seconds) -> impl Iterator<Item = RequestId> + '_ {
+        let is_begun =
+            move |cut: &PendingCut| cut.machines.get(&machine).is_some_and(|begun_by| *begun_by <= by);
+        self.pending_cuts.iter().filter(move |(_, cut)| is_begun(cut)).map(|(&job, _)| job)
+    }
+
+    /// Whether all machines have confirmed the stop orders of members' copies.
+    #[cfg(test)]
+    pub(in crate::state) fn is_all_confirmed(&self) -> bool {
+        self.pending_cuts.is_empty()
     }
 
     /// Drops a pending stop order once all machines have confirmed it.
@@ -46,7 +61,8 @@
         // A member's copy is recorded after a reported error, too, and then the machine may have nothing to report any
         // more: without checks its key might never be free.
         let key = job.guarded_key().filter(|_| self.settings.probes || job.owner == Owner::Rest);
-        self.possible_copies.record(now, id, key, (machine, confirmation));
+        let begun_by = if job.phase == Phase::Running { job.placed_at } else { now };
+        self.possible_copies.record(now, id, key, PossibleCopy { machine, confirmation, begun_by });
         let Owner::Group { group, member } = job.owner else { return };
         let job = id;
         if !self.groups.pending_cuts.contains_key(&job) {
@@ -56,17 +72,18 @@
                 }
             }
             self.groups.cut_order.push_back(job);
+            self.alarm(now + RETENTION_S, Alarm::ForgetCut(job));
         }
-        let none = || PendingCut { of: (group, member), machines: BTreeSet::new() };
+        let none = || PendingCut { of: (group, member), machines: BTreeMap::new() };
         let cut = self.groups.pending_cuts.entry(job).or_insert_with(none);
-        cut.machines.insert(machine);
+        cut.machines.insert(machine, begun_by);
     }
 
-    /// Handles the proof that a machine's copy is over.
-    pub(in crate::state) fn prove_gone(&mut self, job: RequestId, machine: MachineId) {
+    /// Handles the end of a copy at a machine.
+    pub(in crate::state) fn prove_gone(&mut self, job: RequestId, machine: MachineId, end: CopyEnd) {
         if self.possible_copies.may_run_at(job, machine) {
             self.possible_copies.prove_gone(job, machine);
-            self.is_copy_gone = true;
+            self.copies_gone.push(CopyGone { job, machine, end });
         }
         if let Some(cut) = self.groups.pending_cuts.get_mut(&job) {
             cut.machines.remove(&machine);
@@ -74,12 +91,22 @@
         }
     }
 
-    /// Handles the proof that a machine's process is gone with all its copies.
-    pub(in crate::state) fn prove_all_gone(&mut self, machine: MachineId) {
+    /// Handles the end of a machine's process, which took the copies with it that it had begun.
+    pub(in crate::state) fn prove_all_gone(&mut self, machine: MachineId, end: ProcessEnd) {
         self.kept_back.forget_machine(machine);
-        let jobs: BTreeSet<RequestId> =
-            self.possible_copies.jobs_at(machine).chain(self.groups.cuts_at(machine)).collect();
-        jobs.into_iter().for_each(|job| self.prove_gone(job, machine));
+        let begun_by = match end {
+            ProcessEnd::LeftList | ProcessEnd::Restarted { .. } => Seconds::INFINITY,
+        };
+        let copies = self.possible_copies.begun_at(machine, begun_by);
+        let jobs: BTreeSet<RequestId> = copies.chain(self.groups.cuts_begun_at(machine, begun_by)).collect();
+        jobs.into_iter().for_each(|job| self.prove_gone(job, machine, CopyEnd::Process(end)));
+    }
+
+    /// Stops waiting for the end of a member's copy that nothing has confirmed for [`RETENTION_S`].
+    pub(in crate::state) fn forget_cut(&mut self, job: RequestId) {
+        let Some(cut) = self.groups.pending_cuts.get(&job) else { return };
+        let machines: Vec<MachineId> = cut.machines.keys().copied().collect();
+        machines.into_iter().for_each(|machine| self.prove_gone(job, machine, CopyEnd::RetentionPassed));
     }
 
     /// A machine has reconnected: copies of group members, and those that keep a key from being used, are ordered to
@@ -115,12 +142,14 @@
     /// Handles the answer to a connection check written behind orders to stop: the machine has received them.
     pub(in crate::state) fn stops_confirmed(&mut self, machine: MachineId, fence: u64) {
         for job in self.possible_copies.confirmed_by(machine, fence) {
-            self.prove_gone(job, machine);
+            self.prove_gone(job, machine, CopyEnd::StopConfirmed);
         }
     }
 
-    /// Whether a machine has to be reached because a copy there keeps a key from being used.
-    pub fn holds_key_at(&self, machine: MachineId) -> bool {
-        self.possible_copies.keyed_at(machine).next().is_some()
+    /// Whether a machine has to be reached because a copy there keeps a key from being used, or a member of a group from
+    /// being placed anew.
+    pub fn owes_stop_at(&self, machine: MachineId) -> bool {
+        let keyed = self.possible_copies.keyed_at(machine).next();
+        keyed.or_else(|| self.groups.cuts_at(machine).next()).is_some()
     }
 }
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -3,7 +3,9 @@
 
 use super::*;
 use crate::decide::groups::{OnLoss, Phase as GroupPhase, Policy};
+use crate::decide::machine_loss::FormerConnection;
 use crate::state::limits::tests::core as core_with_three_classes;
+use crate::state::possible_copies::RETENTION_S;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -162,10 +164,13 @@
         let gone: Vec<RequestId> =
             machine.copies.iter().filter(|(_, runs)| dies || !**runs).map(|(&job, _)| job).collect();
         gone.into_iter().for_each(|job| self.end_copy(at, job));
-        self.apply_input(Input::LinkBroken { machine: MachineId(at), proved: true });
+        let machine = MachineId(at);
+        self.apply_input(Input::LinkBroken { machine, end: ConnectionEnd::SeenByMachine });
         if dies {
             self.machines[at as usize].waiting.clear();
-            self.apply_input(Input::MachineLost { machine: MachineId(at), proved: true });
+            let former_connection = FormerConnection::Reset;
+            let dial = RefusedDial { former_connection, unreported_s: 0.0, silent_s: 0.0 };
+            self.apply_input(Input::DialRefused { machine, dial });
         }
         self.schedule(0.05, SimEvent::Reconnect(at));
     }
@@ -555,3 +560,23 @@
     assert_eq!(sim.view(id).phase, GroupPhase::Standing);
     assert_eq!((jobs(&sim).len(), jobs(&sim).is_disjoint(&lost)), (2, true), "both are placed anew");
 }
+
+/// Guards a group against waiting for ever for the end of a copy that nothing confirms, and callers against a replacement
+/// before that.
+#[test]
+fn a_member_waits_for_the_end_of_its_copy_for_a_bounded_time() {
+    let mut sim = Simulation::new(11, 3);
+    let id = sim.group(1, 3, 1.0, OnLoss::Replace);
+    sim.run(0.2);
+    let at = sim.view(id).members[0].job.and_then(|job| sim.core.job(job)?.machine).expect("a machine");
+    (sim.machines[at.0 as usize].up, sim.machines[at.0 as usize].hangs) = (false, true);
+    sim.apply_input(Input::LinkBroken { machine: at, end: ConnectionEnd::Unconfirmed });
+    sim.apply_input(Input::MachineLost { machine: at });
+    sim.run(RETENTION_S - 1.0);
+    let view = sim.view(id);
+    assert_eq!((view.phase, view.members[0].unreachable.len()), (GroupPhase::Standing, 1), "{view:?}");
+    let last_job = view.members[0].job;
+    sim.run(2.0);
+    let view = sim.view(id);
+    assert!(view.members[0].job != last_job && view.members[0].unreachable.is_empty(), "{view:?}");
+}
--- a/src/state/interface.rs
+++ b/src/state/interface.rs
@@ -6,6 +6,7 @@
 use crate::decide::groups::settings::GroupSettings;
 use crate::decide::groups::Policy;
 use crate::decide::limits::{Table, Why};
+use crate::decide::machine_loss::{ConnectionEnd, CopyEnd, RefusedDial};
 use crate::placer::{
     AttemptNo, Entry, ListKind, MachineId, Note, Outcome, Reason, Report, RequestId, Seconds, Task,
 };
@@ -158,20 +159,18 @@
     Probed { machine: MachineId, outcome: Outcome, report: Option<Report> },
     /// A connection attempt to the machine failed: attempts that are still queued for it never ran.
     DialFailed { machine: MachineId },
-    /// The machine refuses connections: either its process is gone, or it is draining and accepts no new
-    /// ones. For `quiet_s` it has sent no message about a task and accepted no connection.
-    DialRefused { machine: MachineId, quiet_s: Seconds },
+    /// The machine refuses connections: its process may be gone, drain, or be short of connections. What is queued
+    /// for it never ran.
+    DialRefused { machine: MachineId, dial: RefusedDial },
     /// The machine closed its connection in answer to this planner's close, which took the place of an order to cancel
     /// an attempt. [`Input::LinkBroken`] follows.
     CloseAnswered { machine: MachineId },
-    /// A connection to the machine ended: attempts sent on it may have run. With `proved` the machine is
-    /// known to have seen the connection end, and so to have abandoned the attempts that were open on it.
-    LinkBroken { machine: MachineId, proved: bool },
-    /// The connection to a machine that left the list ended; `proved` as for [`Input::LinkBroken`].
-    Departed { departure: DepartureId, proved: bool },
-    /// The machine is considered lost. With `proved` its process is known to be gone, with all its tasks;
-    /// otherwise the machine may only be unreachable.
-    MachineLost { machine: MachineId, proved: bool },
+    /// A connection to the machine ended: attempts sent on it may have run.
+    LinkBroken { machine: MachineId, end: ConnectionEnd },
+    /// The connection to a machine that left the list ended.
+    Departed { departure: DepartureId, end: ConnectionEnd },
+    /// The machine has been silent for so long that its tasks are reported lost. It may only be unreachable.
+    MachineLost { machine: MachineId },
     /// New operator limits, validated and compiled. They apply to jobs that are submitted from now on.
     Limits { table: Arc<Table>, digest: String },
     /// The settings for groups that are submitted from now on; `None` if groups are disabled.
@@ -238,6 +237,8 @@
         why: Reason,
         unheard: bool,
     },
+    /// For logs and metrics only: a copy that may have run although its job is over has ended.
+    CopyGone(CopyGone),
     /// For logs and metrics only: number of requests that are answered now because the planner shuts down.
     CutShort { requests: u64 },
     /// Final answer: the task is running.
@@ -260,6 +261,17 @@
     Log(String),
 }
 
+/// A copy that may have run although its job is over, and what shows that it has ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CopyGone {
+    /// The copy's job.
+    pub job: RequestId,
+    /// The machine that held it.
+    pub machine: MachineId,
+    /// The evidence.
+    pub end: CopyEnd,
+}
+
 /// Why a job was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/src/state/limits/tests.rs
+++ b/src/state/limits/tests.rs
@@ -226,7 +226,7 @@
                     .map(|(id, _)| *id)
                     .collect();
                 hit.into_iter().for_each(|job| self.end_attempt(job, true));
-                self.handle(Input::LinkBroken { machine, proved: true });
+                self.handle(Input::LinkBroken { machine, end: ConnectionEnd::SeenByMachine });
             }
             _ => self.handle(Input::Cancel { job: RequestId(1 + argument as u64 % self.next), cause: 16 }),
         }
--- a/src/state/machines.rs
+++ b/src/state/machines.rs
@@ -1,11 +1,8 @@
 //! The machines: updates of the machine list, and the consequences of a lost machine.
 
 use super::*;
-use crate::decide::silence::LOST_AFTER_S;
+use crate::decide::machine_loss::notice_after_refusal;
 
-/// Seconds. Time for which a draining machine that refuses connections is assumed to keep its running tasks.
-/// An end that no message reports must reach the owner within 8 s.
-const DRAINING_KEEP_S: Seconds = 3.0;
 /// Count. Names of former machines that are kept before unused names are removed.
 const UNUSED_NAMES_KEPT: usize = 64;
 
@@ -47,8 +44,8 @@
         self.feed_placer(now, Event::List { kind, entries }, effects);
         for (machine, started) in restarted {
             // The machine's process restarted: tasks that ran there before are lost.
-            self.lose_running_tasks(now, machine, started, effects);
-            self.prove_all_gone(machine);
+            self.lose_running_tasks(now, machine, |job| job.placed_at < started, effects);
+            self.prove_all_gone(machine, ProcessEnd::Restarted { started });
             // Attempts in the send queue were decided for a warm machine. Sent by all planners at once, they
             // could overload a cold one.
             self.cancel_queued(now, machine, effects);
@@ -129,17 +126,18 @@
         restarted.then_some((id, entry.started))
     }
 
-    /// Ends the tasks that have been running at a machine since before the given time, as lost.
+    /// Ends those tasks that run at a machine and satisfy the predicate, as lost: their clients are told. A copy may
+    /// run all the same.
     pub(super) fn lose_running_tasks(
         &mut self,
         now: Seconds,
         machine: MachineId,
-        before: Seconds,
+        is_lost: impl Fn(&Job) -> bool,
         effects: &mut Vec<Effect>,
     ) {
         let Some(node) = self.nodes.get(machine) else { return };
-        let old = |id: &RequestId| self.jobs.get(id).is_some_and(|j| j.placed_at < before);
-        let lost: Vec<RequestId> = node.running.iter().copied().filter(old).collect();
+        let is_lost = |id: &RequestId| self.jobs.get(id).is_some_and(&is_lost);
+        let lost: Vec<RequestId> = node.running.iter().copied().filter(is_lost).collect();
         for job in lost {
             if self.is_to_be_stopped_after_loss(job) {
                 // If the machine is only unreachable, its copy must not run on without the owner's knowledge.
@@ -157,46 +155,48 @@
         self.jobs.get(&id).is_some_and(|job| !matches!(job.owner, Owner::Link(_)))
     }
 
-    /// Handles a refused connection. Both a dead process and a draining one refuse connections. Tasks on a
-    /// draining machine are kept until the list calls the machine gone, or until an unreported end would
-    /// reach the owner too late.
+    /// Handles a refused connection, which shows nothing about the copies at the machine.
     pub(super) fn dial_refused(
         &mut self,
         now: Seconds,
         machine: MachineId,
-        quiet_s: Seconds,
+        dial: RefusedDial,
         effects: &mut Vec<Effect>,
     ) {
-        let drains = self.nodes.get_mut(machine).filter(|n| n.entry().standing == Standing::Draining);
-        let since = drains.map(|node| *node.refuses_since.get_or_insert(now));
-        if since.is_some_and(|since| now < since + DRAINING_KEEP_S) && quiet_s < LOST_AFTER_S {
-            return self.end_attempts(now, machine, false, Reason::Unknown, effects);
-        }
-        self.machine_lost(now, machine, true, effects);
+        let Some(node) = self.nodes.get_mut(machine) else { return };
+        let standing = node.entry().standing;
+        let refused_s = match standing {
+            Standing::Draining => now - *node.refuses_since.get_or_insert(now),
+            Standing::Ready | Standing::Gone => 0.0,
+        };
+        let notice = notice_after_refusal(standing, refused_s, dial);
+        self.machine_lost(now, machine, notice, effects);
     }
 
-    /// Handles the loss of a machine and its running tasks. Attempts that were sent end only if the loss is
-    /// proved: otherwise they may still be open on a working connection.
+    /// Handles a machine that is out of reach: its tasks are reported lost as far as `notice` says, and what is queued
+    /// for it goes elsewhere. Attempts that were sent end with their connection, and copies by evidence of their own.
     pub(super) fn machine_lost(
         &mut self,
         now: Seconds,
         machine: MachineId,
-        proved: bool,
+        notice: LossNotice,
         effects: &mut Vec<Effect>,
     ) {
-        self.lose_running_tasks(now, machine, f64::INFINITY, effects);
-        self.end_attempts(now, machine, false, Reason::Unknown, effects);
-        if proved {
-            self.end_attempts(now, machine, true, Reason::Unknown, effects);
-            self.prove_all_gone(machine);
+        match notice {
+            LossNotice::Nobody => {}
+            LossNotice::PlatformClients => {
+                self.lose_running_tasks(now, machine, |job| matches!(job.owner, Owner::Link(_)), effects);
+            }
+            LossNotice::Everyone => self.lose_running_tasks(now, machine, |_| true, effects),
         }
+        self.end_attempts(now, machine, false, Reason::Unknown, effects);
     }
 
     /// Handles a machine's leaving the list: its running tasks count as lost, queued attempts never ran, and
     /// attempts that were sent are cancelled but stay open until the connection has ended.
     fn begin_departure(&mut self, now: Seconds, machine: MachineId, effects: &mut Vec<Effect>) {
         self.kept_back.forget_machine(machine);
-        self.lose_running_tasks(now, machine, f64::INFINITY, effects);
+        self.lose_running_tasks(now, machine, |_| true, effects);
         self.end_attempts(now, machine, false, Reason::Unknown, effects);
         let jobs = self.open_attempts_at(machine, |t| t.sent);
         self.machine_changed(machine, ChangeKind::Deleted, effects);
@@ -224,16 +224,16 @@
         &mut self,
         now: Seconds,
         departure: DepartureId,
-        proved: bool,
+        end: ConnectionEnd,
         effects: &mut Vec<Effect>,
     ) {
         let Some(Departed { machine, jobs }) = self.departures.end(departure) else { return };
         for job in jobs {
-            self.end_departed_attempt(now, job, proved, effects);
+            self.end_departed_attempt(now, job, end, effects);
         }
         // If the machine is listed again, copies recorded there may belong to its new process.
         if !self.nodes.contains(machine) {
-            self.prove_all_gone(machine);
+            self.prove_all_gone(machine, ProcessEnd::LeftList);
         }
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -32,8 +32,8 @@
 pub use groups::{GroupView, MemberView};
 pub use history::{Change, ChangeKind, History, Resume};
 pub use interface::{
-    CoreBounds, Effect, GroupId, GroupSubmission, Input, JobSubmission, LinkLoad, MachineNotice, Owner,
-    Phase, Refusal, Spec,
+    CopyGone, CoreBounds, Effect, GroupId, GroupSubmission, Input, JobSubmission, LinkLoad, MachineNotice,
+    Owner, Phase, Refusal, Spec,
 };
 use jobs::{FinalAnswer, Job, OpenAttempt};
 use limits::ActiveLimits;
@@ -44,6 +44,7 @@
 
 use crate::decide::cancellations::kept_back::KeptBackOrders;
 use crate::decide::limits::{Front, Limits, Rejection, Resolved, Subject, Table, Ticket};
+use crate::decide::machine_loss::{ConnectionEnd, CopyEnd, LossNotice, ProcessEnd, RefusedDial};
 use crate::placer::Idempotency;
 use crate::placer::Placer;
 use crate::placer::*;
@@ -89,8 +90,8 @@
     possible_copies: PossibleCopies,
     /// Orders to cancel attempts that are not sent yet.
     kept_back: KeptBackOrders,
-    /// Whether a copy was proved gone by the input that is handled; requests may wait for that.
-    is_copy_gone: bool,
+    /// The copies whose end the input that is handled has shown; requests may wait for that.
+    copies_gone: Vec<CopyGone>,
     unclaimed_ends: UnclaimedEnds,
     departures: Departures,
     /// Seconds. Time by which every request is answered; infinite unless the planner is shutting down.
@@ -131,7 +132,7 @@
             groups: Groups::default(),
             possible_copies: PossibleCopies::default(),
             kept_back: KeptBackOrders::default(),
-            is_copy_gone: false,
+            copies_gone: Vec::new(),
             unclaimed_ends: UnclaimedEnds::default(),
             departures: Departures::default(),
             answers_by: f64::INFINITY,
@@ -243,9 +244,10 @@
         let from = effects.len();
         self.handle_input(now, input, effects);
         self.settle_groups(now, from, effects);
-        if std::mem::take(&mut self.is_copy_gone) && self.bounds.history > 0 {
+        if !self.copies_gone.is_empty() && self.bounds.history > 0 {
             effects.push(Effect::Changed);
         }
+        effects.extend(self.copies_gone.drain(..).map(Effect::CopyGone));
     }
 
     fn handle_input(&mut self, now: Seconds, input: Input, effects: &mut Vec<Effect>) {
@@ -303,10 +305,10 @@
                 self.feed_placer(now, Event::Probed { machine, outcome, report }, effects);
             }
             Input::DialFailed { machine } => self.end_attempts(now, machine, false, Reason::Unknown, effects),
-            Input::DialRefused { machine, quiet_s } => self.dial_refused(now, machine, quiet_s, effects),
-            Input::LinkBroken { machine, proved } => self.link_broken(now, machine, proved, effects),
-            Input::Departed { departure, proved } => self.end_departure(now, departure, proved, effects),
-            Input::MachineLost { machine, proved } => self.machine_lost(now, machine, proved, effects),
+            Input::DialRefused { machine, dial } => self.dial_refused(now, machine, dial, effects),
+            Input::LinkBroken { machine, end } => self.link_broken(now, machine, end, effects),
+            Input::Departed { departure, end } => self.end_departure(now, departure, end, effects),
+            Input::MachineLost { machine } => self.machine_lost(now, machine, LossNotice::Everyone, effects),
             Input::Limits { table, digest } => self.activate_limits(now, table, digest),
             Input::GroupSettings(settings) => self.groups.settings = settings,
             Input::LimitsRefused { why } => self.limits.refuse(now, why),
--- a/src/state/possible_copies.rs
+++ b/src/state/possible_copies.rs
@@ -4,8 +4,8 @@
 //! - A key of the REST API of which a copy may run starts no other copy: the node that holds the first one may be out
 //!   of reach, and the others drop repeats for a limited time only.
 //!
-//! A copy is proved gone when its machine reports its end, answers a connection check that was written behind the order
-//! to stop it, restarts, or leaves the list. What is never proved is forgotten after [`RETENTION_S`].
+//! A copy is proved gone by a [`CopyEnd`](crate::decide::machine_loss::CopyEnd). What is never proved is forgotten after
+//! [`RETENTION_S`].
 
 use crate::placer::{MachineId, RequestId, Seconds};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -30,12 +30,21 @@
     Report,
 }
 
+/// A copy that may run at a machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct PossibleCopy {
+    pub machine: MachineId,
+    pub confirmation: Confirmation,
+    /// The latest time at which the machine may have begun it.
+    pub begun_by: Seconds,
+}
+
 /// The copies of one job.
 struct Record {
     since: Seconds,
     /// The key, if it must not start another copy.
     key: Option<ClassAndKey>,
-    machines: BTreeMap<MachineId, Confirmation>,
+    machines: BTreeMap<MachineId, PossibleCopy>,
 }
 
 /// All copies that may run.
@@ -50,13 +59,7 @@
 
 impl PossibleCopies {
     /// Records that a copy may run at a machine.
-    pub fn record(
-        &mut self,
-        now: Seconds,
-        job: RequestId,
-        key: Option<ClassAndKey>,
-        at: (MachineId, Confirmation),
-    ) {
+    pub fn record(&mut self, now: Seconds, job: RequestId, key: Option<ClassAndKey>, copy: PossibleCopy) {
         self.expire(now);
         if !self.records.contains_key(&job) {
             let order = if key.is_some() { &mut self.keyed } else { &mut self.unkeyed };
@@ -67,7 +70,7 @@
             self.records.insert(job, Record { since: now, key, machines: BTreeMap::new() });
         }
         if let Some(record) = self.records.get_mut(&job) {
-            record.machines.insert(at.0, at.1);
+            record.machines.insert(copy.machine, copy);
         }
         while self.unkeyed.len() > MAX_UNKEYED {
             let oldest = self.unkeyed.pop_front();
@@ -119,32 +122,35 @@
         }
     }
 
-    /// The jobs of which a copy may run at a machine.
-    pub fn jobs_at(&self, machine: MachineId) -> impl Iterator<Item = RequestId> + '_ {
-        self.records
-            .iter()
-            .filter(move |(_, record)| record.machines.contains_key(&machine))
-            .map(|(&job, _)| job)
+    /// The jobs of which a copy that was begun by the given time may run at a machine.
+    pub fn begun_at(&self, machine: MachineId, by: Seconds) -> impl Iterator<Item = RequestId> + '_ {
+        let is_begun =
+            move |record: &Record| record.machines.get(&machine).is_some_and(|copy| copy.begun_by <= by);
+        self.records.iter().filter(move |(_, record)| is_begun(record)).map(|(&job, _)| job)
     }
 
     /// The jobs whose copies at a machine are proved gone by its answer to the connection check with this number.
     pub fn confirmed_by(&self, machine: MachineId, fence: u64) -> Vec<RequestId> {
-        let is_confirmed = |record: &Record| matches!(record.machines.get(&machine), Some(Confirmation::Fence(own)) if *own <= fence);
+        let is_confirmed = |record: &Record| match record.machines.get(&machine).map(|copy| copy.confirmation)
+        {
+            Some(Confirmation::Fence(own)) => own <= fence,
+            Some(Confirmation::Report) | None => false,
+        };
         self.records.iter().filter(|(_, record)| is_confirmed(record)).map(|(&job, _)| job).collect()
     }
 
     /// Sets how the end of a copy at a machine is going to be confirmed, if such a copy is recorded.
     pub fn confirm_by(&mut self, job: RequestId, machine: MachineId, confirmation: Confirmation) {
-        if let Some(own) = self.records.get_mut(&job).and_then(|record| record.machines.get_mut(&machine)) {
-            *own = confirmation;
+        if let Some(copy) = self.records.get_mut(&job).and_then(|record| record.machines.get_mut(&machine)) {
+            copy.confirmation = confirmation;
         }
     }
 
     /// Records that a machine has a new connection: connection checks on the former one may never be answered.
     pub fn forget_fences(&mut self, machine: MachineId) {
         for record in self.records.values_mut() {
-            if let Some(confirmation) = record.machines.get_mut(&machine) {
-                *confirmation = Confirmation::Report;
+            if let Some(copy) = record.machines.get_mut(&machine) {
+                copy.confirmation = Confirmation::Report;
             }
         }
     }
--- a/src/wire/hub.rs
+++ b/src/wire/hub.rs
@@ -388,6 +388,7 @@
                 }
             }
             Effect::AttemptOver { unheard, .. } => self.counts.unheard_attempts += u64::from(unheard),
+            Effect::CopyGone(_) => {}
             Effect::CutShort { requests } => self.counts.cut_short += requests,
             Effect::Subscribe | Effect::Changed => {}
             Effect::Log(line) => tracing::info!("{line}"),
--- a/src/wire/hub/machine_connections.rs
+++ b/src/wire/hub/machine_connections.rs
@@ -227,7 +227,7 @@
         let has_queued = self.machine_links.get(&machine).is_some_and(|l| !l.outbox.is_empty());
         if has_queued || self.core.has_order_for_next_connection(machine) {
             Need::Now
-        } else if self.core.running_at(machine) > 0 || self.core.holds_key_at(machine) {
+        } else if self.core.running_at(machine) > 0 || self.core.owes_stop_at(machine) {
             Need::Visit
         } else {
             Need::Spare
--- a/src/wire/hub/tests.rs
+++ b/src/wire/hub/tests.rs
@@ -78,7 +78,10 @@
         // After a complete write the error shows only at the next write.
         assert_eq!(written.is_err(), taken < 1 << 20);
         hub.lock().machine_links.get_mut(&machine_id).expect("a link").outbox.reset();
-        hub.apply(Input::LinkBroken { machine: machine_id, proved: true });
+        hub.apply(Input::LinkBroken {
+            machine: machine_id,
+            end: crate::decide::machine_loss::ConnectionEnd::SeenByMachine,
+        });
         let waits = !hub.lock().machine_links[&machine_id].outbox.is_empty();
         let answered = !hub.lock().owners[&owner].outbox.is_empty();
         assert_eq!((waits, answered), (taken == 0, taken > 0), "{taken} bytes written");
--- a/src/wire/platform/machine_links.rs
+++ b/src/wire/platform/machine_links.rs
@@ -11,6 +11,7 @@
 use super::node::{self, take_line, MachineMessage, FENCE_FLAG, MAX_LINE_BYTES};
 use crate::decide::cancellations::confirm_within_s;
 use crate::decide::links::{Need, VISIT_AFTER_S};
+use crate::decide::machine_loss::{ConnectionEnd, FormerConnection, RefusedDial};
 use crate::decide::silence::checks::{CheckSchedule, Open, CHECK_INTERVAL_S};
 use crate::decide::silence::{is_lost, Dial, MachineActivity, Step, Watch};
 use crate::decide::spread::Draws;
@@ -137,8 +138,8 @@
     async fn run(self) {
         let machine = self.machine;
         let mut draws = Draws::new(self.hub.seed(), self.link_id);
-        let (mut wait, mut signs, mut after_reset) =
-            (RETRY_DELAYS.0, MachineActivity::new(self.hub.now()), false);
+        let (mut wait, mut signs, mut former_connection) =
+            (RETRY_DELAYS.0, MachineActivity::new(self.hub.now()), FormerConnection::NotReset);
         let mut replacement = None;
         if let Some((_, wakes)) = self.address() {
             // A queued set-up ends this wait.
@@ -163,6 +164,7 @@
             match dialled {
                 Dialled::Up(stream) => {
                     let up = Instant::now();
+                    former_connection = FormerConnection::NotReset;
                     self.record_unreachable(false);
                     let _ = stream.set_nodelay(true);
                     self.hub.lock().take_unconfirmed(machine);
@@ -193,31 +195,36 @@
                         }
                         other => other,
                     };
-                    after_reset =
-                        matches!(&end, Err(error) if error.kind() == io::ErrorKind::ConnectionReset);
+                    former_connection = match &end {
+                        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => {
+                            FormerConnection::Reset
+                        }
+                        _ => FormerConnection::NotReset,
+                    };
                     // Closing the connection cancels the attempts open on it; only then may they be retried
                     // elsewhere.
-                    let proved = self.finish(&stream, buffer, &end).await;
+                    let seen = self.finish(&stream, buffer, &end).await;
                     if let Err(error) = &end {
-                        tracing::debug!(machine = machine.0, %error, proved, "connection to a machine broke");
+                        tracing::debug!(machine = machine.0, %error, ?seen, "connection to a machine broke");
                     }
-                    self.hub.lock().counts.unproved_ends += u64::from(!proved);
-                    if end.is_err() || !proved {
+                    let is_unconfirmed = seen == ConnectionEnd::Unconfirmed;
+                    self.hub.lock().counts.unproved_ends += u64::from(is_unconfirmed);
+                    if end.is_err() || is_unconfirmed {
                         discard_unsent(&stream);
                     }
                     drop(stream);
                     if self.address().is_none() {
                         // The machine left the list. If it is listed again, its new link reports on it.
-                        return self.report_departed(proved);
+                        return self.report_departed(seen);
                     }
                     if let Some(link) = self.hub.lock().machine_links.get_mut(&machine) {
                         link.outbox.reset();
                     }
                     self.fail_probe(Outcome::Lost);
-                    if proved && matches!(end, Ok(End::Cancelled)) {
+                    if !is_unconfirmed && matches!(end, Ok(End::Cancelled)) {
                         self.send_input(Input::CloseAnswered { machine });
                     }
-                    self.send_input(Input::LinkBroken { machine, proved });
+                    self.send_input(Input::LinkBroken { machine, end: seen });
                     if up.elapsed() > SHORT_LIVED {
                         wait = RETRY_DELAYS.0;
                         // The cause may have broken the connections of all planners at once, so the redial is
@@ -231,14 +238,10 @@
                 Dialled::Refused => {
                     signs.failed_dials = 0;
                     self.record_unreachable(false);
-                    // A reset followed by a refusal means that the process died. A refusal alone may be a
-                    // process that drains and accepts no new connections.
-                    self.send_input(if after_reset {
-                        Input::MachineLost { machine, proved: true }
-                    } else {
-                        let quiet_s = self.hub.now() - signs.last_task_report;
-                        Input::DialRefused { machine, quiet_s }
-                    });
+                    let now = self.hub.now();
+                    let (unreported_s, silent_s) = (now - signs.last_task_report, now - signs.last_sign);
+                    let dial = RefusedDial { former_connection, unreported_s, silent_s };
+                    self.send_input(Input::DialRefused { machine, dial });
                 }
                 Dialled::NoResources => {
                     // The messages stay queued; an unused owner connection is closed to free resources.
@@ -256,7 +259,7 @@
                         self.hub.now() - signs.last_sign,
                         self.record_unreachable(true),
                     ) {
-                        self.send_input(Input::MachineLost { machine, proved: false });
+                        self.send_input(Input::MachineLost { machine });
                     }
                 }
             }
@@ -277,7 +280,7 @@
             wait = (wait * 2).min(RETRY_DELAYS.1);
         }
         // No connection is up, so no attempt can be open on one.
-        self.report_departed(true);
+        self.report_departed(ConnectionEnd::SeenByMachine);
     }
 
     /// Requests a slot for the connection and returns whether it has one. If not, first waits until a slot is
@@ -468,14 +471,14 @@
                 }
             }
             Step::ProvokeReset => self.hub.lock().provoke_reset(self.machine),
-            Step::Lost => self.send_input(Input::MachineLost { machine: self.machine, proved: false }),
+            Step::Lost => self.send_input(Input::MachineLost { machine: self.machine }),
             Step::Close => {
                 *signs = watch.signs();
                 // Closing the connection abandons its open attempts. Running tasks are still waited for,
                 // unless the machine counts as lost.
                 let (dials, quiet_s) = (signs.failed_dials, self.hub.now() - signs.last_sign);
                 if dials > 0 && is_lost(dials, quiet_s, self.record_unreachable(true)) {
-                    self.send_input(Input::MachineLost { machine: self.machine, proved: false });
+                    self.send_input(Input::MachineLost { machine: self.machine });
                 }
                 return Err(io::Error::new(
                     io::ErrorKind::TimedOut,
--- a/src/wire/platform/machine_links/dial.rs
+++ b/src/wire/platform/machine_links/dial.rs
@@ -13,8 +13,8 @@
 pub enum Dialled {
     /// The connection.
     Up(TcpStream),
-    /// The host answered that nothing listens on the port: the one error that proves anything about the
-    /// machine.
+    /// The host answered that nothing listens on the port. It proves that nothing was begun by this dial, and nothing
+    /// of the tasks that run at the machine.
     Refused,
     /// No connection came up: the time ran out, or the network or host failed. It proves nothing about the
     /// machine.
--- a/src/wire/platform/machine_links/end.rs
+++ b/src/wire/platform/machine_links/end.rs
@@ -3,6 +3,7 @@
 //! machine may not know: a network partition can keep the close from reaching it.
 
 use super::LinkTask;
+use crate::decide::machine_loss::ConnectionEnd;
 use crate::wire::socket_read::read_some;
 use bytes::BytesMut;
 use std::io::{self, ErrorKind};
@@ -57,6 +58,14 @@
             _ => FarEnd::Up,
         }
     }
+
+    /// Whether the machine has seen the end of the connection.
+    fn connection_end(self) -> ConnectionEnd {
+        match self {
+            FarEnd::Ended => ConnectionEnd::SeenByMachine,
+            FarEnd::Unknown | FarEnd::Up => ConnectionEnd::Unconfirmed,
+        }
+    }
 }
 
 /// Closes the write side of a connection, and passes what arrives to `on_data` until the machine closes it,
@@ -80,25 +89,24 @@
         inner.core.has_open_attempt_at(self.machine) || !inner.is_all_confirmed(self.machine)
     }
 
-    /// Closes a connection; returns whether the machine is known to have closed it, too, which proves that it
-    /// has cancelled the attempts that were open on it.
+    /// Closes a connection; returns whether the machine is known to have closed it, too.
     pub(super) async fn finish(
         &self,
         stream: &TcpStream,
         mut buffer: BytesMut,
         end: &io::Result<End>,
-    ) -> bool {
+    ) -> ConnectionEnd {
         let far_end = match end {
             Ok(End::Closed) => FarEnd::Ended,
             Ok(_) => FarEnd::Up,
             Err(error) => FarEnd::after(error),
         };
         if far_end != FarEnd::Up {
-            return far_end == FarEnd::Ended;
+            return far_end.connection_end();
         }
         let has_left_list = self.hub.lock().write_final(self.link_id, stream);
         if !has_left_list && !self.is_anything_open() {
-            return true;
+            return ConnectionEnd::SeenByMachine;
         }
         // Nothing that follows a corrupt line can be used.
         let mut is_intact = !matches!(end, Err(error) if error.kind() == ErrorKind::InvalidData);
@@ -110,17 +118,17 @@
             Ok(())
         };
         match timeout(MACHINE_CLOSE_TIMEOUT, half_close(stream, &mut buffer, on_data)).await {
-            Ok(Ok(())) => true,
-            Ok(Err(error)) => FarEnd::after(&error) == FarEnd::Ended,
-            Err(_) => false,
+            Ok(Ok(())) => ConnectionEnd::SeenByMachine,
+            Ok(Err(error)) => FarEnd::after(&error).connection_end(),
+            Err(_) => ConnectionEnd::Unconfirmed,
         }
     }
 
     /// Reports to the core that the connection to a machine that left the list has ended.
-    pub(super) fn report_departed(&self, proved: bool) {
+    pub(super) fn report_departed(&self, end: ConnectionEnd) {
         let departed = self.hub.lock().take_departed(self.link_id);
         if let Some(departed) = departed {
-            self.send_input(crate::state::Input::Departed { departure: departed.departure, proved });
+            self.send_input(crate::state::Input::Departed { departure: departed.departure, end });
         }
     }
 }
--- a/src/wire/trail.rs
+++ b/src/wire/trail.rs
@@ -4,7 +4,7 @@
 
 use super::platform::node::uid;
 use crate::placer::{ListKind, MachineId, Standing};
-use crate::state::{Core, Effect, Input};
+use crate::state::{CopyGone, Core, Effect, Input};
 
 const TARGET: &str = "burlhook::trail";
 
@@ -56,11 +56,11 @@
         | Input::CloseAnswered { machine }
         | Input::LinkBroken { machine, .. }
         | Input::LinkUp { machine }
-        | Input::MachineLost { machine, .. } => {
+        | Input::MachineLost { machine } => {
             tracing::debug!(target: TARGET, machine = name(machine), ?input, "link");
         }
-        Input::Departed { departure, proved } => {
-            tracing::debug!(target: TARGET, departure, proved, "a machine that left ended its connection");
+        Input::Departed { departure, end } => {
+            tracing::debug!(target: TARGET, departure, ?end, "a machine that left ended its connection");
         }
         Input::OwnerGone { link } => tracing::debug!(target: TARGET, link, "owner gone"),
         _ => {}
@@ -81,6 +81,9 @@
             let (job, machine) = (uid(*job), name(machine));
             tracing::debug!(target: TARGET, job, machine, attempt, ?outcome, ?why, unheard, "attempt over");
         }
+        Effect::CopyGone(CopyGone { job, machine, end }) => {
+            tracing::debug!(target: TARGET, job = uid(*job), machine = name(machine), ?end, "copy gone");
+        }
         Effect::Disconnect { machine, departure } => {
             tracing::debug!(target: TARGET, machine = name(machine), departure, "disconnected");
         }
