Take a restart for the end of those copies alone that were begun before it

Callers would see: a machine restarts, is connected again and takes a keyed task; that task counts as lost, and only then does the list, which is late, tell of the restart. The key was free while the copy ran in the new process. Cause: `prove_all_gone` took a later start time for the end of all copies recorded at the machine. Only what was begun until the start is gone; the rest is ordered to stop on the next connection, as before. Test: a_restart_frees_the_keys_of_earlier_copies_alone fails without the change.

--- a/src/state/groups/cuts.rs
+++ b/src/state/groups/cuts.rs
@@ -95,7 +95,9 @@
     pub(in crate::state) fn prove_all_gone(&mut self, machine: MachineId, end: ProcessEnd) {
         self.kept_back.forget_machine(machine);
         let begun_by = match end {
-            ProcessEnd::LeftList | ProcessEnd::Restarted { .. } => Seconds::INFINITY,
+            ProcessEnd::LeftList => Seconds::INFINITY,
+            // A copy that was begun later may run in the process that has started.
+            ProcessEnd::Restarted { started } => started,
         };
         let copies = self.possible_copies.begun_at(machine, begun_by);
         let jobs: BTreeSet<RequestId> = copies.chain(self.groups.cuts_begun_at(machine, begun_by)).collect();
--- a/src/state/tests/keys.rs
+++ b/src/state/tests/keys.rs
@@ -221,3 +221,17 @@
         }
     }
 }
+
+/// Guards keys against a list that tells late of a restart: a copy that was begun after it runs in the new process.
+#[test]
+fn a_restart_frees_the_keys_of_earlier_copies_alone() {
+    for (started, is_free) in [(99.0, false), (101.0, true)] {
+        let mut bench = Bench::with_probes();
+        let machine = bench.send_keyed(1);
+        bench.bound(machine, 1);
+        bench.now = 102.0;
+        bench.apply_input(Input::MachineLost { machine });
+        bench.started(machine.0, started);
+        assert_eq!(is_held(&bench.submit(2, Some(KEY))), !is_free, "started at {started}");
+    }
+}
