Keep what a waiting caller waits for until it has read it

Cause: one input may end more jobs than `keepOver` records are kept, and those beyond were forgotten under the lock in which they ended, before the request that waits could read them. Change: a request holds the record of its job or group from its submission on; a record that is forgotten while it is held leaves its last view there. At most one hold for each request, so that maxConnections bounds them.

--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -395,6 +395,10 @@
     pub(super) fn forget_group(&mut self, id: GroupId, effects: &mut Vec<Effect>) {
         self.groups.over.retain(|&other| other != id);
         self.group_changed(id, ChangeKind::Deleted, effects);
+        let record = RecordId::Group(id);
+        if let Some(view) = self.group_view_of(id).filter(|_| self.awaited.is_held(record)) {
+            self.awaited.keep(record, LastView::Group(view));
+        }
         if let Some(key) = self.groups.records.remove(&id).and_then(|record| record.key) {
             if self.groups.keys.get(&key) == Some(&id) {
                 self.groups.keys.remove(&key);
--- a/src/state/interface.rs
+++ b/src/state/interface.rs
@@ -1,6 +1,6 @@
 //! The interface of the core: its inputs, its effects, and the states and final answers of jobs.
 
-use super::DepartureId;
+use super::{DepartureId, RecordId};
 use crate::decide::budgets::{PeerMessage, Plan};
 use crate::decide::fleet::{Incarnation, Member};
 use crate::decide::groups::settings::GroupSettings;
@@ -181,6 +181,10 @@
     Join { plan: Plan, incarnation: Incarnation },
     /// Messages of another planner. The incarnation is a number that differs between its process starts.
     Peer { from: (Member, Incarnation), messages: Vec<PeerMessage> },
+    /// A caller waits for a job or group: it can read the record until it releases it.
+    HoldRecord { record: RecordId },
+    /// A caller that held a record has read it, or has left.
+    ReleaseRecord { record: RecordId },
     /// Time has advanced; due alarms are handled.
     Tick,
 }
--- a/src/state/jobs.rs
+++ b/src/state/jobs.rs
@@ -433,6 +433,7 @@
             self.nodes.remove_running(machine, id);
         }
         if self.bounds.over == 0 {
+            self.keep_for_callers(id);
             self.jobs.remove(&id);
             return;
         }
@@ -455,6 +456,7 @@
         if self.jobs.contains_key(&id) {
             self.changed(id, ChangeKind::Deleted, effects);
         }
+        self.keep_for_callers(id);
         if let Some(job) = self.jobs.remove(&id) {
             let key = job.spec.key.as_ref().map(|key| (job.spec.class.clone(), key.clone()));
             if let Some(key) = key.filter(|key| self.keys.get(key) == Some(&id)) {
@@ -463,6 +465,14 @@
         }
     }
 
+    /// Keeps the last view of a job whose record is removed for the callers that wait for it.
+    fn keep_for_callers(&mut self, id: RequestId) {
+        let record = RecordId::Job(id);
+        if let Some(view) = self.job_view_of(id).filter(|_| self.awaited.is_held(record)) {
+            self.awaited.keep(record, LastView::Job(view));
+        }
+    }
+
     /// Assigns a new version to a job and adds it to the history for watchers.
     pub(super) fn changed(&mut self, id: RequestId, kind: ChangeKind, effects: &mut Vec<Effect>) {
         let version = self.history.next_version();
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -8,6 +8,7 @@
 mod adoption;
 mod alarms;
 mod attempts;
+mod awaited;
 mod cancellations;
 mod departures;
 mod ends;
@@ -25,6 +26,8 @@
 mod views;
 
 use alarms::Alarm;
+pub use awaited::RecordId;
+use awaited::{AwaitedRecords, LastView};
 pub use departures::DepartureId;
 use departures::{Departed, Departures};
 pub use fleet::FleetView;
@@ -93,6 +96,7 @@
     /// The copies whose end the input that is handled has shown; requests may wait for that.
     copies_gone: Vec<CopyGone>,
     unclaimed_ends: UnclaimedEnds,
+    awaited: AwaitedRecords,
     departures: Departures,
     /// Seconds. Time by which every request is answered; infinite unless the planner is shutting down.
     answers_by: Seconds,
@@ -134,6 +138,7 @@
             kept_back: KeptBackOrders::default(),
             copies_gone: Vec::new(),
             unclaimed_ends: UnclaimedEnds::default(),
+            awaited: AwaitedRecords::default(),
             departures: Departures::default(),
             answers_by: f64::INFINITY,
         })
@@ -312,6 +317,8 @@
             Input::Limits { table, digest } => self.activate_limits(now, table, digest),
             Input::GroupSettings(settings) => self.groups.settings = settings,
             Input::LimitsRefused { why } => self.limits.refuse(now, why),
+            Input::HoldRecord { record } => self.awaited.hold(record),
+            Input::ReleaseRecord { record } => self.awaited.release(record),
             Input::Tick => self.tick(now, effects),
         }
     }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -812,3 +812,27 @@
         assert_eq!((answers(&gone) + answers(&ended), launched(&ended)), (1, None), "left at {left_at}");
     }
 }
+
+/// Guards callers that wait for jobs of which more end at once than records are kept: each can read its answer until it
+/// has, and nothing is kept after that.
+#[test]
+fn what_a_caller_waits_for_outlives_its_record() {
+    let mut bench = Bench::new("repeatable");
+    bench.core.bounds.over = 1;
+    let jobs = [1, 2, 3].map(RequestId);
+    for job in jobs {
+        bench.submit(job.0, None);
+        let record = RecordId::Job(job);
+        bench.apply_input(Input::HoldRecord { record });
+        bench.apply_input(Input::HoldRecord { record });
+        bench.apply_input(Input::ReleaseRecord { record });
+    }
+    bench.apply_input(Input::OwnerFaulty { link: 1 });
+    assert!(bench.core.job(jobs[0]).is_none(), "its record makes room");
+    for job in jobs {
+        let phase = bench.core.held_job_view(job).map(|view| view.phase);
+        assert_eq!(phase, Some(Phase::Failed));
+        bench.apply_input(Input::ReleaseRecord { record: RecordId::Job(job) });
+    }
+    assert!(bench.core.held_job_view(jobs[0]).is_none() && bench.core.awaited.is_empty());
+}
--- a/src/state/views.rs
+++ b/src/state/views.rs
@@ -45,6 +45,16 @@
         self.jobs.get(&id).map(|job| self.job_view(id, job))
     }
 
+    /// A snapshot of a job that the caller holds; its last one if its record is forgotten.
+    pub fn held_job_view(&self, id: RequestId) -> Option<JobView> {
+        self.job_view_of(id).or_else(|| self.awaited.job(id))
+    }
+
+    /// A snapshot of a group that the caller holds; its last one if its record is forgotten.
+    pub fn held_group_view(&self, id: GroupId) -> Option<GroupView> {
+        self.group_view_of(id).or_else(|| self.awaited.group(id))
+    }
+
     /// Snapshots of all jobs, sorted by their last change.
     pub fn job_views(&self) -> Vec<JobView> {
         let mut views: Vec<JobView> = self.jobs.iter().map(|(&id, job)| self.job_view(id, job)).collect();
--- a/src/wire/rest/groups.rs
+++ b/src/wire/rest/groups.rs
@@ -2,6 +2,7 @@
 
 use super::answers::{self, Answer, Problem};
 use super::fleet;
+use super::held::HeldRecord;
 use super::jobs::{self, SubmitQuery};
 use super::objects::{self, NewJob};
 use super::Api;
@@ -9,7 +10,7 @@
 use crate::decide::groups::{self, OnLoss};
 use crate::decide::key_owners::MemberKey;
 use crate::placer::*;
-use crate::state::{GroupId, GroupSubmission, GroupView, Input, Spec};
+use crate::state::{GroupId, GroupSubmission, GroupView, Input, RecordId, Spec};
 use crate::wire::hub::Inner;
 use crate::wire::platform::node;
 use axum::body::Body;
@@ -101,7 +102,7 @@
     if let Some(redirect) = fleet::redirect_to(owner, &api.options.own_url, &uri).await? {
         return Ok(redirect);
     }
-    let (group, joined) = submit_or_join(&api, &new, members, key)?;
+    let Submitted { group, joined, held: _held } = submit_or_join(&api, &new, members, key)?;
     let view = match query.wait {
         true => {
             // A client without a key cannot find this group again, so the group is cancelled if it
@@ -111,9 +112,9 @@
             guard.disarm();
             view
         }
-        false => api.hub.lock().core.group_view_of(group),
+        false => api.hub.lock().core.held_group_view(group),
     };
-    let view = view.ok_or_else(|| Problem::unknown("the group was forgotten while it was waited for"))?;
+    let view = view.ok_or_else(|| Problem::unknown("the group is unknown although it is waited for"))?;
     answer(&api, &view, if joined { 200 } else { 201 })
 }
 
@@ -206,13 +207,25 @@
     Ok(tasks)
 }
 
+/// A group that was submitted, or joined.
+struct Submitted {
+    group: GroupId,
+    joined: bool,
+    held: HeldRecord,
+}
+
+/// Holds the record of a group for the request that has submitted or joined it.
+fn hold(api: &Api, inner: &mut Inner, group: GroupId, joined: bool) -> Submitted {
+    Submitted { group, joined, held: HeldRecord::new(&api.hub, inner, RecordId::Group(group)) }
+}
+
 /// Submits the group, or joins the group that already has its key, under one lock.
 fn submit_or_join(
     api: &Api,
     new: &NewGroup,
     members: Vec<CheckedMember>,
     key: Option<String>,
-) -> Result<(GroupId, bool), Problem> {
+) -> Result<Submitted, Problem> {
     let digest = objects::digest(json!(new).to_string().as_bytes());
     let mut inner = api.hub.lock();
     let settings = group_settings(&inner)?;
@@ -222,7 +235,7 @@
         }
         // A refused group may be submitted again. A failed one may have run, so its result stays.
         if !matches!(inner.core.group_answer(id), Some(groups::Answer::Refused { .. })) {
-            return Ok((id, true));
+            return Ok(hold(api, &mut inner, id, true));
         }
     }
     let deadline = api.hub.now() + new.deadline_ms as f64 / 1e3;
@@ -254,7 +267,7 @@
     let (policy, share) = (figures.policy(on_loss), figures.share);
     let submission = GroupSubmission { group, members, deadline, policy, share, key, digest };
     api.hub.apply_in(&mut inner, Input::SubmitGroup(submission));
-    Ok((group, false))
+    Ok(hold(api, &mut inner, group, false))
 }
 
 /// Cancels a group when its client disconnects before the answer: dropping the request's future drops this
@@ -279,16 +292,13 @@
     }
 }
 
-/// Waits until the group has its final answer.
+/// Waits until the group, whose record is held, has its final answer.
 async fn wait_until_answered(api: &Api, group: GroupId) -> Option<GroupView> {
     let mut changes = api.hub.changes.subscribe();
-    // A group that was removed meanwhile had its answer, but has no view any more.
     loop {
-        {
-            let inner = api.hub.lock();
-            if inner.core.group_answer(group).is_some() {
-                return inner.core.group_view_of(group);
-            }
+        let view = api.hub.lock().core.held_group_view(group)?;
+        if view.answer.is_some() {
+            return Some(view);
         }
         changes.changed().await.ok()?;
     }
--- a/src/wire/rest/jobs.rs
+++ b/src/wire/rest/jobs.rs
@@ -2,10 +2,11 @@
 
 use super::answers::{self, Answer, Problem};
 use super::fleet;
+use super::held::HeldRecord;
 use super::objects::{self, NewJob};
 use super::Api;
 use crate::placer::*;
-use crate::state::{Input, JobSubmission, JobView, Owner, Phase, Refusal, Spec};
+use crate::state::{Input, JobSubmission, JobView, Owner, Phase, RecordId, Refusal, Spec};
 use crate::wire::hub::{to_duration, Inner};
 use crate::wire::platform::node;
 use axum::body::Body;
@@ -61,10 +62,13 @@
             return Ok(redirect);
         }
     }
-    let (job, joined) = submit_once_key_is_free(&api, &new, class, key.as_deref()).await?;
-    let view =
-        if query.wait { wait_until_answered(&api, job).await } else { api.hub.lock().core.job_view_of(job) };
-    let view = view.ok_or_else(|| Problem::unknown("the job was forgotten while it was waited for"))?;
+    let Submitted { job, joined, held: _held } =
+        submit_once_key_is_free(&api, &new, class, key.as_deref()).await?;
+    let view = match query.wait {
+        true => wait_until_answered(&api, job).await,
+        false => api.hub.lock().core.held_job_view(job),
+    };
+    let view = view.ok_or_else(|| Problem::unknown("the job is unknown although it is waited for"))?;
     answer(&api, &view, if joined { 200 } else { 201 })
 }
 
@@ -119,6 +123,13 @@
     deadline: Seconds,
 }
 
+/// A job that was submitted, or joined.
+struct Submitted {
+    job: RequestId,
+    joined: bool,
+    held: HeldRecord,
+}
+
 /// Why a job was not submitted.
 enum NotSubmitted {
     /// A copy of an earlier job with its key may still run; the time after which to retry.
@@ -140,7 +151,7 @@
     new: &NewJob,
     class: usize,
     key: Option<&str>,
-) -> Result<(RequestId, bool), Problem> {
+) -> Result<Submitted, Problem> {
     let received_at = api.hub.now();
     let wait_s = new.deadline_ms as f64 / 1e3;
     let submission = Submission { new, class, key, deadline: received_at + wait_s };
@@ -162,7 +173,7 @@
 
 /// Submits the job, or joins the job that already has its key. Both happen under one lock, so that of two
 /// concurrent requests with the same key only one submits.
-fn submit_or_join(api: &Api, submission: &Submission<'_>) -> Result<(RequestId, bool), NotSubmitted> {
+fn submit_or_join(api: &Api, submission: &Submission<'_>) -> Result<Submitted, NotSubmitted> {
     let &Submission { new, class, key, deadline } = submission;
     let mut inner = api.hub.lock();
     let digest = new.digest();
@@ -174,7 +185,7 @@
         // A job that was refused, missed its deadline, was cancelled or was lost may be submitted again. A
         // failed one may have run, so its result stays.
         if !matches!(job.phase, Phase::Refused | Phase::DeadlinePassed | Phase::Cancelled | Phase::Lost) {
-            return Ok((id, true));
+            return Ok(hold(api, &mut inner, id, true));
         }
     }
     if inner.draining {
@@ -208,7 +219,7 @@
     inner.last_rejection = None;
     api.hub.apply_in(&mut inner, Input::Submit(submission));
     match inner.last_rejection.take() {
-        None => Ok((id, false)),
+        None => Ok(hold(api, &mut inner, id, false)),
         Some((Refusal::CopyMayRun, retry_in_s)) => Err(NotSubmitted::CopyMayRun(retry_in_s)),
         Some((Refusal::Limit(why), retry_in_s)) => {
             Err(Problem::limited(objects::limit(why), retry_in_s).into())
@@ -219,11 +230,16 @@
     }
 }
 
-/// Waits until the job has its final answer.
+/// Holds the record of a job for the request that has submitted or joined it.
+fn hold(api: &Api, inner: &mut Inner, job: RequestId, joined: bool) -> Submitted {
+    Submitted { job, joined, held: HeldRecord::new(&api.hub, inner, RecordId::Job(job)) }
+}
+
+/// Waits until the job, whose record is held, has its final answer.
 async fn wait_until_answered(api: &Api, job: RequestId) -> Option<JobView> {
     let mut changes = api.hub.changes.subscribe();
     loop {
-        let view = api.hub.lock().core.job_view_of(job)?;
+        let view = api.hub.lock().core.held_job_view(job)?;
         if view.phase != Phase::Pending {
             return Some(view);
         }
--- a/src/wire/rest/mod.rs
+++ b/src/wire/rest/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod fleet;
 mod groups;
+mod held;
 mod jobs;
 mod limits;
 mod objects;
