--- a/tests/refused_connections.rs
+++ b/tests/refused_connections.rs
@@ -1,7 +1,6 @@
 //! Machines that refuse connections while their tasks run: one that drains, whatever the list tells of it, and one that
 //! is short of connections for a while. The machines' ledgers say what ran.
 
-#[allow(dead_code)]
 mod exchange;
 
 use burlhook_lab::node::{Act, Ledger, Node, Plan, What};
