Tell a loss in time also where the next dial comes late

Cause: where connections go round a machine is dialled every 3 s. A loss that waits for 6.5 s of silence was then told with the first dial after that, up to 9.5 s after the last sign, where the list is late as well; the protocol has 8 s. A refusal was told at once before, so this came with it. Found by reading; no run of processes shows it. Change: the decision knows within what time the machine is dialled again, and tells now if the next dial would be too late.

--- a/src/decide/machine_loss/mod.rs
+++ b/src/decide/machine_loss/mod.rs
@@ -10,12 +10,14 @@
 //! is short of connections, refuses dials and keeps its tasks. So no type here turns a refusal, a close or a reset into
 //! the end of a copy.
 
-use crate::decide::silence::LOST_AFTER_S;
 use crate::placer::{Seconds, Standing};
 
 /// Seconds. Time for which a draining machine that refuses connections is assumed to keep the tasks of platform clients.
 const DRAINING_KEEP_S: Seconds = 3.0;
 
+/// Seconds. Time since a machine's last sign by which all clients are told, of the 8 s of the protocol.
+const TELL_BY_S: Seconds = 7.5;
+
 /// How a connection to a machine ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -69,6 +71,8 @@
     pub unreported_s: Seconds,
     /// Seconds since the machine last showed any sign of activity.
     pub silent_s: Seconds,
+    /// Seconds within which the machine is dialled again. Where connections go round, that is longer.
+    pub redial_s: Seconds,
 }
 
 /// Whose clients are told that their tasks at a machine are lost.
@@ -86,15 +90,18 @@
 /// while draining.
 pub fn notice_after_refusal(standing: Standing, refused_s: Seconds, dial: RefusedDial) -> LossNotice {
     let was_reset = dial.former_connection == FormerConnection::Reset;
+    // The next dial would be too late to tell.
+    let is_due = |quiet_s: Seconds| quiet_s + dial.redial_s >= TELL_BY_S;
     if standing == Standing::Draining {
-        return match () {
-            () if dial.unreported_s >= LOST_AFTER_S => LossNotice::Everyone,
-            () if was_reset || refused_s >= DRAINING_KEEP_S => LossNotice::PlatformClients,
-            () => LossNotice::Nobody,
-        };
-    }
-    // The connections of a process that dies are reset. Without a reset the machine may be short of connections.
-    if was_reset || dial.silent_s >= LOST_AFTER_S {
+        if is_due(dial.unreported_s) {
+            LossNotice::Everyone
+        } else if was_reset || refused_s >= DRAINING_KEEP_S {
+            LossNotice::PlatformClients
+        } else {
+            LossNotice::Nobody
+        }
+    } else if was_reset || is_due(dial.silent_s) {
+        // The connections of a process that dies are reset. Without a reset it may be short of connections.
         LossNotice::Everyone
     } else {
         LossNotice::PlatformClients
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -169,7 +169,7 @@
         if dies {
             self.machines[at as usize].waiting.clear();
             let former_connection = FormerConnection::Reset;
-            let dial = RefusedDial { former_connection, unreported_s: 0.0, silent_s: 0.0 };
+            let dial = RefusedDial { former_connection, unreported_s: 0.0, silent_s: 0.0, redial_s: 1.0 };
             self.apply_input(Input::DialRefused { machine, dial });
         }
         self.schedule(0.05, SimEvent::Reconnect(at));
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -134,7 +134,7 @@
 /// A dial that a machine refuses, which has given no sign of activity for this time and reset no connection.
 fn refused(machine: MachineId, silent_s: Seconds) -> Input {
     let former_connection = FormerConnection::NotReset;
-    let dial = RefusedDial { former_connection, unreported_s: silent_s, silent_s };
+    let dial = RefusedDial { former_connection, unreported_s: silent_s, silent_s, redial_s: 1.0 };
     Input::DialRefused { machine, dial }
 }
 
--- a/src/state/tests/keys.rs
+++ b/src/state/tests/keys.rs
@@ -210,7 +210,7 @@
             bench.list(&[(machine.0, standing)]);
             for silent_s in [0.0, 3.0, 60.0] {
                 bench.now += silent_s;
-                let dial = RefusedDial { former_connection, unreported_s: silent_s, silent_s };
+                let dial = RefusedDial { former_connection, unreported_s: silent_s, silent_s, redial_s: 1.0 };
                 bench.apply_input(Input::DialRefused { machine, dial });
             }
             assert!(
--- a/src/state/tests/refused_dials.rs
+++ b/src/state/tests/refused_dials.rs
@@ -353,7 +353,12 @@
         at.failed_dials = 0;
         if at.refuses || !at.is_alive {
             let (unreported_s, silent_s) = (self.now - at.reported_at, self.now - at.heard_at);
-            let dial = RefusedDial { former_connection: at.former_connection, unreported_s, silent_s };
+            let dial = RefusedDial {
+                former_connection: at.former_connection,
+                unreported_s,
+                silent_s,
+                redial_s: 1.0,
+            };
             self.note((n, dial));
             return self.apply(Input::DialRefused { machine, dial });
         }
--- a/src/wire/platform/machine_links/lifecycle.rs
+++ b/src/wire/platform/machine_links/lifecycle.rs
@@ -177,6 +177,7 @@
                     former_connection: progress.former_connection,
                     unreported_s: now - signs.last_task_report,
                     silent_s: now - signs.last_sign,
+                    redial_s: self.redial_s(),
                 };
                 self.send_input(Input::DialRefused { machine, dial });
             }
@@ -198,6 +199,17 @@
         self.fail_probe(Outcome::ConnectFailed);
     }
 
+    /// Seconds within which the machine is dialled again: after the back-off, or, where connections go round, with its
+    /// next visit.
+    fn redial_s(&self) -> Seconds {
+        let longest_back_off_s = RETRY_DELAYS.1.as_secs_f64();
+        if self.hub.lock().slots.is_short() {
+            VISIT_AFTER_S.max(longest_back_off_s)
+        } else {
+            longest_back_off_s
+        }
+    }
+
     /// Waits before the next dial, which keeps the planner from dialling in a tight loop where each new connection is
     /// reset.
     async fn back_off(&self, wake: &Notify, progress: &mut LinkProgress) {
