Keep unsent set-ups over a broken connection in the model of refused dials

The model dropped all that was queued for a machine when its connection broke; the planner's queue (`Outbox::reset`) keeps set-ups of which nothing was written.

--- a/src/state/tests/refused_dials.rs
+++ b/src/state/tests/refused_dials.rs
@@ -26,7 +26,8 @@
 /// A message from the planner.
 #[derive(Clone, Debug)]
 enum Order {
-    Launch(RequestId, AttemptNo, String),
+    /// With the check that is written in the same message before it, if any.
+    Launch(RequestId, AttemptNo, String, Option<u64>),
     Stop(RequestId),
     Check(u64),
 }
@@ -153,8 +154,7 @@
                         (key, _) => key.clone().unwrap_or_default(),
                     };
                     let at = &mut self.machines[machine.0 as usize];
-                    at.orders.extend(fence.map(Order::Check));
-                    at.orders.push(Order::Launch(job, attempt, identity));
+                    at.orders.push(Order::Launch(job, attempt, identity, fence));
                 }
                 Effect::CancelAttempt { machine, job } => {
                     let at = &mut self.machines[machine.0 as usize];
@@ -300,7 +300,8 @@
             return;
         }
         (at.former_connection, at.dial_at) = (former_connection, self.now + dial_in_s);
-        at.orders.clear();
+        // As in the planner's queue, what was not sent of set-ups goes to the next connection.
+        at.orders.retain(|order| matches!(order, Order::Launch(..)));
         if end == ConnectionEnd::SeenByMachine {
             self.give_up_set_ups(n);
         }
@@ -374,7 +375,8 @@
         let machine = MachineId(n);
         for order in std::mem::take(&mut self.machines[n as usize].orders) {
             match order {
-                Order::Launch(job, attempt, identity) => {
+                Order::Launch(job, attempt, identity, fence) => {
+                    self.machines[n as usize].reports.extend(fence.map(Report::Checked));
                     self.apply(Input::Sent { job, attempt });
                     self.offer(n, job, identity);
                 }
