--- a/src/state/alarms.rs
+++ b/src/state/alarms.rs
@@ -25,8 +25,8 @@
     ForgetJob(RequestId),
     /// The time for which the oldest unclaimed end is kept is up.
     ExpireEnds,
-    /// The time for which a member of a group waits for the end of its job's copies is up.
-    ForgetCut(RequestId, GroupId, usize),
+    /// The time is up for which the member of a group that waits longest waits for the end of its job's copies.
+    ForgetCuts,
     /// A group requested a timer.
     Group(GroupId),
     /// The time for which a finished group is kept is up.
@@ -79,7 +79,7 @@
                 Alarm::UnlistedTimeout(job) => self.unlisted_timed_out(now, job, effects),
                 Alarm::ForgetJob(job) => self.forget(job, effects),
                 Alarm::ExpireEnds => self.expire_ends(now),
-                Alarm::ForgetCut(job, group, member) => self.forget_cut(job, (group, member)),
+                Alarm::ForgetCuts => self.forget_cuts(now),
                 Alarm::Group(group) => self.on_group_event(now, group, groups::Event::Tick, effects),
                 Alarm::ForgetGroup(group) => self.forget_group(group, effects),
                 Alarm::Fleet => self.fleet_tick(now, effects),
--- a/src/state/groups.rs
+++ b/src/state/groups.rs
@@ -12,7 +12,7 @@
 use crate::decide::groups::settings::GroupSettings;
 use crate::decide::groups::starts::{Ends, Starts};
 use crate::decide::groups::{self, Action, Answer, Group, Why};
-use cuts::PendingCut;
+use cuts::{OrderedCut, PendingCut};
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
 
@@ -59,8 +59,10 @@
     /// Finished groups, oldest first.
     over: VecDeque<GroupId>,
     pending_cuts: BTreeMap<RequestId, PendingCut>,
-    /// The jobs with pending stop orders, oldest first.
-    cut_order: VecDeque<RequestId>,
+    /// The jobs with pending stop orders, oldest first, and those whose order was dropped while a member waits.
+    cut_order: VecDeque<OrderedCut>,
+    /// Whether the alarm that ends the longest wait is set.
+    is_forget_alarm_set: bool,
     /// Members whose copies were just proved gone and whose groups are not informed yet.
     proved_gone: Vec<(GroupId, usize)>,
     pub starts: Starts,
--- a/src/state/groups/cuts.rs
+++ b/src/state/groups/cuts.rs
@@ -15,6 +15,13 @@
     pub machines: BTreeMap<MachineId, Seconds>,
 }
 
+/// A job whose copies were ordered to stop.
+pub(super) struct OrderedCut {
+    since: Seconds,
+    job: RequestId,
+    of: (GroupId, usize),
+}
+
 impl Groups {
     /// The jobs of members whose copies at a machine are ordered to stop, which it has not confirmed.
     fn cuts_at(&self, machine: MachineId) -> impl Iterator<Item = RequestId> + '_ {
@@ -38,10 +45,27 @@
     fn settle_cut(&mut self, job: RequestId) {
         if self.pending_cuts.get(&job).is_some_and(|cut| cut.machines.is_empty()) {
             let of = self.pending_cuts.remove(&job).map(|cut| cut.of);
-            self.cut_order.retain(|other| *other != job);
+            self.cut_order.retain(|other| other.job != job);
             self.proved_gone.extend(of);
         }
     }
+
+    /// Whether a member of a group still waits for the copies of that job.
+    fn is_waited_for(&self, job: RequestId, (group, member): (GroupId, usize)) -> bool {
+        let record = self.records.get(&group);
+        record.and_then(|record| record.members.get(member)).is_some_and(|member| member.job == Some(job))
+    }
+
+    /// Drops the oldest pending stop order to make room. Its member, if one waits, goes on waiting for its time.
+    fn drop_oldest_cut(&mut self) {
+        let pending = |cut: &OrderedCut| self.pending_cuts.contains_key(&cut.job);
+        let Some(at) = self.cut_order.iter().position(pending) else { return };
+        let OrderedCut { job, of, .. } = self.cut_order[at];
+        self.pending_cuts.remove(&job);
+        if !self.is_waited_for(job, of) {
+            self.cut_order.remove(at);
+        }
+    }
 }
 
 impl Core {
@@ -66,13 +90,11 @@
         let Owner::Group { group, member } = job.owner else { return };
         let job = id;
         if !self.groups.pending_cuts.contains_key(&job) {
-            if self.groups.cut_order.len() >= MAX_PENDING_CUTS {
-                if let Some(oldest) = self.groups.cut_order.pop_front() {
-                    self.groups.pending_cuts.remove(&oldest);
-                }
+            if self.groups.pending_cuts.len() >= MAX_PENDING_CUTS {
+                self.groups.drop_oldest_cut();
             }
-            self.groups.cut_order.push_back(job);
-            self.alarm(now + RETENTION_S, Alarm::ForgetCut(job, group, member));
+            self.groups.cut_order.push_back(OrderedCut { since: now, job, of: (group, member) });
+            self.set_forget_alarm();
         }
         let none = || PendingCut { of: (group, member), machines: BTreeMap::new() };
         let cut = self.groups.pending_cuts.entry(job).or_insert_with(none);
@@ -104,17 +126,34 @@
         jobs.into_iter().for_each(|job| self.prove_gone(job, machine, CopyEnd::Process(end)));
     }
 
-    /// Stops waiting for the end of a member's copies that nothing has confirmed for [`RETENTION_S`], also where the
-    /// orders to stop them were dropped.
-    pub(in crate::state) fn forget_cut(&mut self, job: RequestId, (group, member): (GroupId, usize)) {
-        let machines = self.groups.pending_cuts.get(&job).map(|cut| cut.machines.keys().copied().collect());
-        let machines: Vec<MachineId> = machines.unwrap_or_default();
-        machines.into_iter().for_each(|machine| self.prove_gone(job, machine, CopyEnd::RetentionPassed));
-        let record = self.groups.records.get(&group);
-        if record.and_then(|record| record.members.get(member)).is_some_and(|member| member.job == Some(job))
-        {
-            self.groups.proved_gone.push((group, member));
+    /// Sets the alarm that ends the longest wait of a member, unless it is set.
+    fn set_forget_alarm(&mut self) {
+        let Some(oldest) = self.groups.cut_order.front().filter(|_| !self.groups.is_forget_alarm_set) else {
+            return;
+        };
+        let at = oldest.since + RETENTION_S;
+        self.groups.is_forget_alarm_set = true;
+        self.alarm(at, Alarm::ForgetCuts);
+    }
+
+    /// Stops waiting for the end of members' copies that nothing has confirmed for [`RETENTION_S`], also where the orders
+    /// to stop them were dropped.
+    pub(in crate::state) fn forget_cuts(&mut self, now: Seconds) {
+        self.groups.is_forget_alarm_set = false;
+        while let Some(&OrderedCut { since, job, of }) = self.groups.cut_order.front() {
+            if now < since + RETENTION_S {
+                break;
+            }
+            let machines =
+                self.groups.pending_cuts.get(&job).map(|cut| cut.machines.keys().copied().collect());
+            let machines: Vec<MachineId> = machines.unwrap_or_default();
+            machines.into_iter().for_each(|machine| self.prove_gone(job, machine, CopyEnd::RetentionPassed));
+            self.groups.cut_order.retain(|other| other.job != job);
+            if self.groups.is_waited_for(job, of) {
+                self.groups.proved_gone.push(of);
+            }
         }
+        self.set_forget_alarm();
     }
 
     /// A machine has reconnected: copies of group members, and those that keep a key from being used, are ordered to
--- a/src/state/groups/tests.rs
+++ b/src/state/groups/tests.rs
@@ -586,3 +586,17 @@
         assert!(view.members[0].job != lost_job && view.members[0].unreachable.is_empty(), "{view:?}");
     }
 }
+
+/// Guards memory: the wait for the end of copies has one alarm, whatever number of copies was confirmed meanwhile.
+#[test]
+fn waits_for_the_ends_of_copies_have_one_alarm() {
+    let mut sim = Simulation::new(9, 2);
+    for id in 1..=20 {
+        let group = sim.group(id, 2, 1.0, OnLoss::Replace);
+        sim.run(0.2);
+        sim.apply_input(Input::CancelGroup { group });
+        sim.run(0.2);
+    }
+    let is_wait = |alarm: &&Reverse<(u64, Alarm)>| matches!(alarm.0 .1, Alarm::ForgetCuts);
+    assert_eq!(sim.core.alarms.iter().filter(is_wait).count(), 1);
+}
